--- /dev/null
+++ b/src/main/java/org/havenford/Main.java
@@ -0,0 +1,124 @@
+package org.havenford;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.Map;
+import org.havenford.coordination.Controller;
+import org.havenford.coordination.Operator;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.Settings;
+import org.havenford.transport.HttpClient;
+import org.havenford.transport.HttpServer;
+import org.havenford.transport.XnioLoop;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import picocli.CommandLine;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
+import picocli.CommandLine.ParseResult;
+
+/** The command line. */
+public final class Main {
+    private static final int FAILED = 1;
+
+    private Main() {
+    }
+
+    public static void main(String[] args) {
+        logging(System.getenv());
+        int code = commandLine().execute(args);
+        if (code >= 0) {
+            System.exit(code);
+        }
+    }
+
+    private static void logging(Map<String, String> env) {
+        String level = env.getOrDefault("LOG_LEVEL", "info");
+        boolean known = level.equals("error") || level.equals("info") || level.equals("debug");
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", known ? level : "info");
+        System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
+        System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "HH:mm:ss.SSS");
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        for (String library : new String[] {"io.undertow", "org.xnio", "org.jboss"}) {
+            System.setProperty("org.slf4j.simpleLogger.log." + library, "error");
+        }
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+    }
+
+    /** Options are declared without annotations: reading those by reflection would lengthen every start. */
+    private static CommandLine commandLine() {
+        CommandSpec spec = CommandSpec.create().name("havenford");
+        String version = Main.class.getPackage().getImplementationVersion();
+        spec.version("havenford " + (version == null ? "(not packaged)" : version));
+        spec.usageMessage().description("A controller of the havenford cluster scheduler.");
+        spec.addOption(OptionSpec.builder("--config").paramLabel("FILE").type(Path.class)
+                .description("settings of the platform, JSON").build());
+        spec.addOption(OptionSpec.builder("--operator").paramLabel("FILE").type(Path.class)
+                .description("settings of the operators, XML (see docs/operations.md)").build());
+        spec.addOption(OptionSpec.builder("-h", "--help").usageHelp(true).description("show this help").build());
+        spec.addOption(OptionSpec.builder("--version").versionHelp(true).description("show the version").build());
+        CommandLine line = new CommandLine(spec);
+        line.setExecutionStrategy(Main::run);
+        return line;
+    }
+
+    private static int run(ParseResult parsed) {
+        Integer help = CommandLine.executeHelpRequest(parsed);
+        if (help != null) {
+            return help;
+        }
+        Path file = parsed.matchedOptionValue("--config", (Path) null);
+        if (file == null) {
+            System.err.println("havenford: --config is missing");
+            CommandLine.usage(parsed.commandSpec(), System.err);
+            return 2;
+        }
+        try {
+            Settings settings = Settings.read(file);
+            Path operatorFile = parsed.matchedOptionValue("--operator", (Path) null);
+            Operator operator = operatorFile == null ? Operator.DEFAULTS : Operator.read(operatorFile);
+            serve(settings, operator);
+            return -1;
+        } catch (NoSuchFileException e) {
+            return fail("there is no file " + e.getMessage());
+        } catch (IOException e) {
+            return fail(e.getMessage());
+        } catch (Json.BadMessage e) {
+            return fail(file + ": " + e.getMessage());
+        } catch (Operator.BadSetting e) {
+            return fail("operators' settings: " + e.getMessage());
+        } catch (RuntimeException e) {
+            return fail("can't listen on the configured address: " + e.getMessage());
+        }
+    }
+
+    private static int fail(String why) {
+        System.err.println("havenford: " + why);
+        return FAILED;
+    }
+
+    private static void serve(Settings settings, Operator operator) throws IOException {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.STACK_SIZE, 256L * 1024)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+        XnioLoop loop = new XnioLoop(worker.getIoThread());
+        DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8 * 1024, 64, 0);
+        HttpClient client = new HttpClient(loop, buffers, Math.max(50, settings.maxConnections() / 3));
+        Controller controller = new Controller(loop, client, settings, operator);
+        int colon = settings.bind().lastIndexOf(':');
+        new HttpServer(worker, settings.bind().substring(0, colon), Integer.parseInt(settings.bind().substring(colon + 1)),
+                Math.max(50, settings.maxConnections() / 2), controller).start();
+        loop.after(java.time.Duration.ZERO, controller::start);
+        LoggerFactory.getLogger(Main.class).info("{} serves on {}", settings.node(), settings.bind());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/bookkeeping/Chunk.java
@@ -0,0 +1,214 @@
+package org.havenford.bookkeeping;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectRBTreeMap;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.List;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.TaskId;
+
+/**
+ * The state of some consecutive tasks of a job, kept under one key so that it changes as a whole. A key that does not
+ * exist yet stands for tasks that were never claimed, which keeps a large job small.
+ */
+public final class Chunk {
+    private final String job;
+    private final int first;
+    private final int size;
+    private final BitSet done = new BitSet();
+    private final Int2ObjectRBTreeMap<Claim> claims = new Int2ObjectRBTreeMap<>();
+    private final Int2LongOpenHashMap attempts = new Int2LongOpenHashMap();
+    /** Tasks restarted for lateness, with the machine that each was late on. */
+    private final Int2ObjectOpenHashMap<String> late = new Int2ObjectOpenHashMap<>();
+    /** Durations of finished phases, in tenths of a second. */
+    private final IntArrayList fetches = new IntArrayList();
+    private final IntArrayList runs = new IntArrayList();
+    private int errors;
+
+    public Chunk(String job, int first, int size) {
+        this.job = job;
+        this.first = first;
+        this.size = size;
+    }
+
+    public Chunk copy() {
+        Chunk c = new Chunk(job, first, size);
+        c.done.or(done);
+        c.claims.putAll(claims);
+        c.attempts.putAll(attempts);
+        c.late.putAll(late);
+        c.fetches.addAll(fetches);
+        c.runs.addAll(runs);
+        c.errors = errors;
+        return c;
+    }
+
+    public int size() {
+        return size;
+    }
+
+    public Collection<Claim> claims() {
+        return claims.values();
+    }
+
+    public Claim claim(int task) {
+        return claims.get(task);
+    }
+
+    public int doneCount() {
+        return done.cardinality();
+    }
+
+    public boolean complete() {
+        return done.cardinality() == size;
+    }
+
+    public boolean wasLate(int task) {
+        return late.containsKey(task);
+    }
+
+    public String lateOn(int task) {
+        return late.get(task);
+    }
+
+    public IntArrayList fetches() {
+        return fetches;
+    }
+
+    public IntArrayList runs() {
+        return runs;
+    }
+
+    /** Failures since the last success. */
+    public int errors() {
+        return errors;
+    }
+
+    public List<TaskId> pending() {
+        List<TaskId> out = new ArrayList<>();
+        for (int i = first; i < first + size; i++) {
+            if (!done.get(i - first) && !claims.containsKey(i)) {
+                out.add(new TaskId(job, i));
+            }
+        }
+        return out;
+    }
+
+    public int pendingCount() {
+        return size - done.cardinality() - claims.size();
+    }
+
+    public Claim claim(int task, String machine, long session, Instant at) {
+        long attempt = attempts.get(task) + 1;
+        attempts.put(task, attempt);
+        Claim c = new Claim(new TaskId(job, task), attempt, machine, session, at);
+        claims.put(task, c);
+        return c;
+    }
+
+    public void finish(int task, double fetchSeconds, double runSeconds) {
+        claims.remove(task);
+        attempts.remove(task);
+        done.set(task - first);
+        errors = 0;
+        if (fetchSeconds >= 0) {
+            fetches.add((int) Math.round(fetchSeconds * 10));
+        }
+        if (runSeconds >= 0) {
+            runs.add((int) Math.round(runSeconds * 10));
+        }
+    }
+
+    public void release(int task, boolean forLateness, boolean failed) {
+        Claim c = claims.remove(task);
+        if (c != null && forLateness) {
+            late.put(task, c.machine());
+        }
+        if (failed) {
+            errors = Math.min(1000, errors + 1);
+        }
+    }
+
+    public JsonObject toJson() {
+        JsonObject o = new JsonObject();
+        JsonArray d = new JsonArray();
+        for (long word : done.toLongArray()) {
+            d.add(Long.toHexString(word));
+        }
+        o.add("d", d);
+        JsonArray c = new JsonArray();
+        for (Claim claim : claims.values()) {
+            JsonArray a = new JsonArray();
+            a.add(claim.task().index());
+            a.add(claim.attempt());
+            a.add(claim.machine());
+            a.add(claim.session());
+            a.add(claim.at().toEpochMilli());
+            c.add(a);
+        }
+        o.add("c", c);
+        if (!attempts.isEmpty()) {
+            JsonObject n = new JsonObject();
+            attempts.int2LongEntrySet().forEach(e -> n.addProperty(Integer.toString(e.getIntKey()), e.getLongValue()));
+            o.add("n", n);
+        }
+        if (!late.isEmpty()) {
+            JsonObject l = new JsonObject();
+            late.int2ObjectEntrySet().forEach(e -> l.addProperty(Integer.toString(e.getIntKey()), e.getValue()));
+            o.add("l", l);
+        }
+        o.add("f", numbers(fetches));
+        o.add("r", numbers(runs));
+        if (errors > 0) {
+            o.addProperty("x", errors);
+        }
+        return o;
+    }
+
+    private static JsonArray numbers(IntArrayList list) {
+        JsonArray a = new JsonArray();
+        list.forEach((int i) -> a.add(i));
+        return a;
+    }
+
+    /** Fills this fresh chunk with what the store holds. */
+    public Chunk read(JsonObject o) throws Json.BadMessage {
+        try {
+            List<String> words = Json.texts(o, "d");
+            for (int w = 0; w < words.size(); w++) {
+                long bits = Long.parseUnsignedLong(words.get(w), 16);
+                for (int b = 0; b < 64; b++) {
+                    if ((bits >>> b & 1) != 0) {
+                        done.set(w * 64 + b);
+                    }
+                }
+            }
+            for (JsonElement e : Json.array(o, "c")) {
+                JsonArray a = e.getAsJsonArray();
+                Claim c = new Claim(new TaskId(job, a.get(0).getAsInt()), a.get(1).getAsLong(), a.get(2).getAsString(),
+                        a.get(3).getAsLong(), Instant.ofEpochMilli(a.get(4).getAsLong()));
+                claims.put(c.task().index(), c);
+            }
+            if (Json.has(o, "n")) {
+                Json.child(o, "n").entrySet().forEach(e -> attempts.put(Integer.parseInt(e.getKey()), e.getValue().getAsLong()));
+            }
+            if (Json.has(o, "l")) {
+                Json.child(o, "l").entrySet().forEach(e -> late.put(Integer.parseInt(e.getKey()), e.getValue().getAsString()));
+            }
+            Json.array(o, "f").forEach(e -> fetches.add(e.getAsInt()));
+            Json.array(o, "r").forEach(e -> runs.add(e.getAsInt()));
+        } catch (IllegalStateException | NumberFormatException | UnsupportedOperationException | IndexOutOfBoundsException e) {
+            throw new Json.BadMessage("tasks of " + job + " can't be read");
+        }
+        errors = (int) Json.countOr(o, "x", 0);
+        return this;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/bookkeeping/Claim.java
@@ -0,0 +1,8 @@
+package org.havenford.bookkeeping;
+
+import java.time.Instant;
+import org.havenford.protocol.TaskId;
+
+/** One attempt of a task, bound to a session of a machine. It holds until a release says otherwise. */
+public record Claim(TaskId task, long attempt, String machine, long session, Instant at) {
+}
--- /dev/null
+++ b/src/main/java/org/havenford/bookkeeping/Keys.java
@@ -0,0 +1,47 @@
+package org.havenford.bookkeeping;
+
+/** Where things are kept in the state service. All but the final states are mirrored by every controller. */
+public final class Keys {
+    public static final String MIRRORED = "live/";
+    public static final String VIEW = "live/view";
+    public static final String TYPES = "live/types";
+    public static final String MEMBERS = "live/member/";
+    public static final String JOBS = "live/job/";
+    public static final String TASKS = "live/tasks/";
+    public static final String MACHINES = "live/machine/";
+    public static final String TEAMS = "live/team/";
+    public static final String BOOKINGS = "live/booking/";
+    public static final String FINALS = "final/";
+
+    private Keys() {
+    }
+
+    public static String job(String id) {
+        return JOBS + id;
+    }
+
+    public static String tasks(String job, int chunk) {
+        return TASKS + job + "/" + chunk;
+    }
+
+    public static String machine(String name) {
+        return MACHINES + name;
+    }
+
+    public static String team(String name) {
+        // Names come from the settings and may hold anything; keys hold no spaces.
+        return TEAMS + name.replaceAll("[^A-Za-z0-9_.-]", "_");
+    }
+
+    public static String member(String node) {
+        return MEMBERS + node;
+    }
+
+    public static String booking(String name) {
+        return BOOKINGS + name;
+    }
+
+    public static String end(String job) {
+        return FINALS + job;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/bookkeeping/Mirror.java
@@ -0,0 +1,172 @@
+package org.havenford.bookkeeping;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectIterator;
+import java.time.Duration;
+import java.util.List;
+import org.havenford.protocol.Json;
+import org.havenford.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A copy of all keys below one prefix: read page by page at the start, then kept by a watch. Changes reach the
+ * listener in the order of their stamps for every key; those of our own transactions at once when they are answered.
+ */
+public final class Mirror {
+    private static final Logger LOG = LoggerFactory.getLogger(Mirror.class);
+    private static final Duration BLOCK = Duration.ofSeconds(8);
+    private static final Duration GAP = Duration.ofMillis(25);
+
+    public interface Listener {
+        /** {@code value} is null when the key is gone. */
+        void changed(String key, JsonElement value, long stamp);
+
+        /** All keys have been read (again). */
+        void loaded();
+
+        /** A batch of changes has been told. */
+        void settled();
+    }
+
+    private final EventLoop loop;
+    private final StateStore store;
+    private final String prefix;
+    private final Listener listener;
+    /** Stamps of what we hold; negative for a key that was deleted at that stamp, until the watch has passed it. */
+    private final Object2LongOpenHashMap<String> stamps = new Object2LongOpenHashMap<>();
+    private boolean loaded;
+    private long edition;
+
+    public Mirror(EventLoop loop, StateStore store, String prefix, Listener listener) {
+        this.loop = loop;
+        this.store = store;
+        this.prefix = prefix;
+        this.listener = listener;
+    }
+
+    public void start() {
+        load(null, 0, new Object2LongOpenHashMap<>());
+    }
+
+    public boolean loaded() {
+        return loaded;
+    }
+
+    public long stamp(String key) {
+        return Math.max(0, stamps.getLong(key));
+    }
+
+    private void load(String after, long first, Object2LongOpenHashMap<String> seen) {
+        store.list(prefix, after, r -> {
+            if (!r.ok()) {
+                loop.after(Duration.ofMillis(200), () -> load(after, first, seen));
+                return;
+            }
+            try {
+                // The watch starts at the edition of the first page, so that whatever changes while the pages are
+                // being read is told again, in order.
+                long from = after == null ? r.edition() : first;
+                String last = null;
+                for (JsonObject item : Json.objects(r.body(), "items")) {
+                    last = Json.text(item, "k");
+                    long stamp = Json.count(item, "stamp");
+                    seen.put(last, stamp);
+                    apply(last, item.get("v"), stamp);
+                }
+                if (Json.flagOr(r.body(), "truncated", false) && last != null) {
+                    load(last, from, seen);
+                    return;
+                }
+                dropUnseen(seen, from);
+                edition = from;
+                watch();
+            } catch (Json.BadMessage e) {
+                LOG.warn("state service: a page of keys could not be read: {}", e.getMessage());
+                loop.after(Duration.ofMillis(500), () -> load(after, first, seen));
+            }
+        });
+    }
+
+    /** After a second reading: keys that are gone meanwhile. */
+    private void dropUnseen(Object2LongOpenHashMap<String> seen, long from) {
+        for (String key : List.copyOf(stamps.keySet())) {
+            long stamp = stamps.getLong(key);
+            if (stamp > 0 && stamp <= from && !seen.containsKey(key)) {
+                apply(key, null, from);
+            }
+        }
+    }
+
+    private void watch() {
+        // Pages are read one after the other, so what they show together may never have been: only after the first
+        // watch has told what changed meanwhile is the copy one that once was true.
+        store.watch(prefix, edition, loaded ? BLOCK : Duration.ZERO, r -> {
+            if (r.outcome() == StateStore.Outcome.REJECTED) {
+                loaded = false;
+                start();
+                return;
+            }
+            if (!r.ok()) {
+                loop.after(Duration.ofMillis(200), this::watch);
+                return;
+            }
+            try {
+                boolean any = false;
+                for (JsonObject event : Json.objects(r.body(), "log")) {
+                    long stamp = Json.count(event, "stamp");
+                    if (Json.has(event, "set")) {
+                        apply(Json.text(event, "set"), event.get("v"), stamp);
+                    } else {
+                        apply(Json.text(event, "delete"), null, stamp);
+                    }
+                    any = true;
+                }
+                edition = Math.max(edition, r.edition());
+                forgetTombstones();
+                if (!loaded) {
+                    loaded = true;
+                    listener.loaded();
+                    any = true;
+                }
+                if (any) {
+                    listener.settled();
+                }
+                loop.after(GAP, this::watch);
+            } catch (Json.BadMessage e) {
+                LOG.warn("state service: changes could not be read: {}", e.getMessage());
+                loop.after(Duration.ofMillis(500), this::watch);
+            }
+        });
+    }
+
+    private void forgetTombstones() {
+        ObjectIterator<it.unimi.dsi.fastutil.objects.Object2LongMap.Entry<String>> it = stamps.object2LongEntrySet().iterator();
+        while (it.hasNext()) {
+            long stamp = it.next().getLongValue();
+            if (stamp < 0 && -stamp <= edition) {
+                it.remove();
+            }
+        }
+    }
+
+    private void apply(String key, JsonElement value, long stamp) {
+        if (stamp <= Math.abs(stamps.getLong(key))) {
+            return;
+        }
+        stamps.put(key, value == null ? -stamp : stamp);
+        listener.changed(key, value, stamp);
+    }
+
+    /** Applies what one of our own transactions has changed, without waiting for the watch. */
+    public void committed(StateStore.Txn txn, long stamp) {
+        for (int i = 0; i < txn.keys().size(); i++) {
+            if (txn.keys().get(i).startsWith(prefix)) {
+                apply(txn.keys().get(i), txn.values().get(i), stamp);
+            }
+        }
+        listener.settled();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/bookkeeping/TokenBucket.java
@@ -0,0 +1,38 @@
+package org.havenford.bookkeeping;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** Our own limit on calls to an outside system, below the one that it enforces. */
+public final class TokenBucket {
+    private double rate;
+    private final double burstSeconds;
+    private double tokens;
+    private Instant last;
+
+    public TokenBucket(double rate, double burstSeconds, Instant now) {
+        this.rate = rate;
+        this.burstSeconds = burstSeconds;
+        this.tokens = rate * burstSeconds;
+        this.last = now;
+    }
+
+    public void rate(double newRate) {
+        rate = newRate;
+    }
+
+    private void refill(Instant now) {
+        tokens = Math.min(Math.max(1, rate * burstSeconds), tokens + Duration.between(last, now).toNanos() / 1e9 * rate);
+        last = now;
+    }
+
+    /** Whether {@code n} can be taken; a need larger than the whole bucket is met once the bucket is full. */
+    public boolean has(double n, Instant now) {
+        refill(now);
+        return tokens >= Math.min(n, Math.max(1, rate * burstSeconds)) - 1e-9;
+    }
+
+    public void take(double n) {
+        tokens -= n;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/Controller.java
@@ -0,0 +1,199 @@
+package org.havenford.coordination;
+
+import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.Mirror;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.Report;
+import org.havenford.protocol.Settings;
+import org.havenford.transport.EventLoop;
+import org.havenford.transport.HttpCalls;
+import org.havenford.transport.HttpServer;
+import org.havenford.transport.HttpServer.Request;
+import org.havenford.transport.HttpServer.Response;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: puts the parts together, and runs their loops in rounds. All of it happens on the event loop. */
+public final class Controller implements HttpServer.Handler {
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final Duration GATHER = Duration.ofMillis(4);
+    private static final Duration TALLY = Duration.ofSeconds(60);
+
+    private final EventLoop loop;
+    private final Ledger ledger = new Ledger();
+    private final StateStore store;
+    private final Mirror mirror;
+    private final Membership membership;
+    private final Fleet fleet;
+    private final Scheduler scheduler;
+    private final Provisioner provisioner;
+    private final Users users;
+    private final Histogram answerMicros = new Histogram(60_000_000L, 2);
+    private final Histogram lagMicros = new Histogram(60_000_000L, 2);
+    private boolean roundDue;
+    private Instant nextTally;
+    private Instant lastComplaint = Instant.MIN;
+
+    public Controller(EventLoop loop, HttpCalls calls, Settings settings, Operator operator) {
+        this.loop = loop;
+        store = new StateStore(loop, calls, settings.stateAddress(), settings.stateRps(), settings.stateWriteRps(),
+                settings.peers().size() + 1);
+        mirror = new Mirror(loop, store, Keys.MIRRORED, ledger);
+        membership = new Membership(loop, store, mirror, settings.node(), membershipLife(settings, operator), this::viewChanged);
+        fleet = new Fleet(loop, calls, settings, operator, ledger, mirror, store, membership, this::wake);
+        scheduler = new Scheduler(loop, settings, operator, ledger, mirror, store, membership, fleet, this::wake);
+        provisioner = new Provisioner(loop, calls, settings, operator, ledger, mirror, store, membership, this::wake);
+        users = new Users(loop, settings, ledger, mirror, store, this::wake);
+        ledger.observer(new Ledger.Observer() {
+            @Override
+            public void viewChanged(JsonObject view, long stamp) {
+                membership.viewChanged(view, stamp);
+            }
+
+            @Override
+            public void memberChanged(String node, JsonObject member, long stamp) {
+                membership.memberChanged(node, member, stamp);
+            }
+
+            @Override
+            public void settled() {
+                wake();
+            }
+
+            @Override
+            public void loaded() {
+                LOG.info("the store has been read: {} jobs, {} machines", ledger.jobs().size(), ledger.machines().size());
+            }
+        });
+        nextTally = loop.now().plus(TALLY);
+    }
+
+    /**
+     * A silent task must be gone within the time for cancellations, even if its owner can't be reached: an owner cut
+     * off may renew the worker's lease until its own ends.
+     */
+    static Duration membershipLife(Settings settings, Operator operator) {
+        Duration most = settings.cancel().minus(settings.workerLease()).dividedBy(2);
+        Duration life = operator.membershipLease();
+        return life.compareTo(most) > 0 && most.compareTo(Duration.ofSeconds(2)) > 0 ? most : life;
+    }
+
+    public void start() {
+        mirror.start();
+        membership.start();
+        tick();
+    }
+
+    private void viewChanged() {
+        fleet.viewChanged();
+    }
+
+    private void tick() {
+        Instant due = loop.now().plus(TICK);
+        loop.after(TICK, () -> {
+            lagMicros.recordValue(Math.max(0, Math.min(60_000_000L, Duration.between(due, loop.now()).toNanos() / 1000)));
+            tick();
+            round();
+            provisioner.step();
+            tally();
+        });
+    }
+
+    /** Asks for a round soon; what comes in together is decided together. */
+    private void wake() {
+        if (!roundDue) {
+            roundDue = true;
+            loop.after(GATHER, () -> {
+                if (roundDue) {
+                    round();
+                }
+            });
+        }
+    }
+
+    private void round() {
+        roundDue = false;
+        membership.step();
+        fleet.step();
+        scheduler.step();
+        fleet.pushAll();
+    }
+
+    private void tally() {
+        if (loop.now().isBefore(nextTally)) {
+            return;
+        }
+        nextTally = loop.now().plus(TALLY);
+        Histogram rounds = scheduler.roundMicros();
+        LOG.info("rounds {} (p50 {} us, p99 {} us), answers {} (p50 {} us, p99 {} us), timers late p99 {} us, late tasks {}, "
+                + "jobs {}, machines {}, memory {} MB", rounds.getTotalCount(), rounds.getValueAtPercentile(50),
+                rounds.getValueAtPercentile(99), answerMicros.getTotalCount(), answerMicros.getValueAtPercentile(50),
+                answerMicros.getValueAtPercentile(99), lagMicros.getValueAtPercentile(99), fleet.lateFired(),
+                ledger.jobs().size(), ledger.machines().size(),
+                (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
+        rounds.reset();
+        answerMicros.reset();
+        lagMicros.reset();
+    }
+
+    // ---- requests
+
+    @Override
+    public void handle(Request request, Consumer<Response> answer) {
+        Instant start = loop.now();
+        route(request, response -> {
+            answerMicros.recordValue(Math.max(0, Math.min(60_000_000L, Duration.between(start, loop.now()).toNanos() / 1000)));
+            answer.accept(response);
+        });
+    }
+
+    private void route(Request request, Consumer<Response> answer) {
+        String path = request.path();
+        boolean post = request.method().equals("POST");
+        boolean get = request.method().equals("GET");
+        if (path.equals("/checkin") && post) {
+            answer.accept(checkin(request.body()));
+        } else if (path.equals("/healthz") && get) {
+            boolean well = mirror.loaded() && membership.leaseHolds() && !ledger.types().isEmpty();
+            answer.accept(well ? Response.of(200, "{}") : Response.of(503, "{}"));
+        } else if (path.equals("/submissions") && post) {
+            users.submit(request.body(), answer);
+        } else if (path.startsWith("/submissions/")) {
+            String rest = path.substring("/submissions/".length());
+            if (post && rest.endsWith("/abort")) {
+                users.cancel(rest.substring(0, rest.length() - "/abort".length()), answer);
+            } else if (get) {
+                users.get(rest, answer);
+            } else {
+                answer.accept(Response.of(405, "{\"error\":\"method not allowed\"}"));
+            }
+        } else {
+            answer.accept(Response.of(404, "{\"error\":\"no such path\"}"));
+        }
+    }
+
+    private Response checkin(byte[] body) {
+        try {
+            if (body == null) {
+                throw new Json.BadMessage("too large or incomplete");
+            }
+            Fleet.Answer a = fleet.checkin(Report.parse(Json.object(new String(body, StandardCharsets.UTF_8))));
+            return Response.of(a.status(), a.body());
+        } catch (Json.BadMessage e) {
+            if (loop.now().isAfter(lastComplaint.plusSeconds(10))) {
+                lastComplaint = loop.now();
+                LOG.warn("a report can't be read: {}", e.getMessage());
+            }
+            return Response.of(400, "{\"error\":\"not a report\"}");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -0,0 +1,620 @@
+package org.havenford.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.havenford.bookkeeping.Claim;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.bookkeeping.MachineRecord.Condition;
+import org.havenford.bookkeeping.Mirror;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.coordination.MachineState.Attempt;
+import org.havenford.coordination.MachineState.StopReason;
+import org.havenford.protocol.Command;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.MachineType;
+import org.havenford.protocol.Report;
+import org.havenford.protocol.Settings;
+import org.havenford.protocol.TaskId;
+import org.havenford.transport.EventLoop;
+import org.havenford.transport.HttpCalls;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The machines that this controller owns. The wanted state of a machine is the set of its claims in the store; what is
+ * comes from the worker's newest report; the difference goes out as commands, and ended attempts go to the releaser.
+ */
+public final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    private static final int MAX_COMMANDS = 200;
+    private static final int MAX_DIRECT = 40;
+    private static final Duration LEASE_MARGIN = Duration.ofMillis(1500);
+
+    /** How an attempt ended. Seconds are negative where they were not seen. */
+    public record Ending(boolean done, boolean late, boolean failed, double fetchSeconds, double runSeconds) {
+        static final Ending RETRY = new Ending(false, false, false, -1, -1);
+        static final Ending LATE = new Ending(false, true, false, -1, -1);
+        static final Ending FAILED = new Ending(false, false, true, -1, -1);
+    }
+
+    private final EventLoop loop;
+    private final HttpCalls calls;
+    private final Settings settings;
+    private final Operator operator;
+    private final Ledger ledger;
+    private final Mirror mirror;
+    private final StateStore store;
+    private final Membership membership;
+    private final Runnable wake;
+    private final Object2ObjectOpenHashMap<String, MachineState> machines = new Object2ObjectOpenHashMap<>();
+    private final Map<TaskId, Ending> endings = new TreeMap<>();
+    /** Machines that keep coming here although another node owns them: first seen, number of times. */
+    private final Object2ObjectOpenHashMap<String, Instant[]> strays = new Object2ObjectOpenHashMap<>();
+    private final Object2ObjectOpenHashMap<String, Double> imageGb = new Object2ObjectOpenHashMap<>();
+    private View known = View.empty();
+    private boolean knownAtAll;
+    private long lateFired;
+
+    public Fleet(EventLoop loop, HttpCalls calls, Settings settings, Operator operator, Ledger ledger, Mirror mirror,
+            StateStore store, Membership membership, Runnable wake) {
+        this.loop = loop;
+        this.calls = calls;
+        this.settings = settings;
+        this.operator = operator;
+        this.ledger = ledger;
+        this.mirror = mirror;
+        this.store = store;
+        this.membership = membership;
+        this.wake = wake;
+    }
+
+    private boolean mine(String machine) {
+        return settings.node().equals(membership.view().owner(machine));
+    }
+
+    public Collection<MachineState> states() {
+        return machines.values();
+    }
+
+    public MachineState state(String machine) {
+        return machines.get(machine);
+    }
+
+    /** Attempts that ended and whose claims are still in the store. */
+    public Map<TaskId, Ending> endings() {
+        return endings;
+    }
+
+    // ---- ownership
+
+    /** After each change of the view: forgets machines that went elsewhere, takes up those that came. */
+    public void viewChanged() {
+        View view = membership.view();
+        for (String name : List.copyOf(machines.keySet())) {
+            MachineState m = machines.get(name);
+            boolean keeps = mine(name) && settings.node().equals(known.owner(name))
+                    && view.members().get(settings.node()).equals(known.members().get(settings.node()));
+            if (!mine(name)) {
+                machines.remove(name);
+            } else if (!keeps) {
+                machines.put(name, takeOver(name));
+            } else {
+                m.epoch = view.epoch();
+                m.fence = 0;
+                m.ranDirectly = false;
+            }
+        }
+        endings.keySet().removeIf(t -> {
+            Job j = ledger.job(t.job());
+            Claim c = j == null ? null : j.claim(t.index());
+            return c == null || !mine(c.machine());
+        });
+        // Machines that are new to us: made with the view before this one still at hand.
+        for (MachineRecord r : ledger.machines()) {
+            if (mine(r.name()) && !machines.containsKey(r.name())) {
+                machines.put(r.name(), takeOver(r.name()));
+            }
+        }
+        for (String name : ledger.claimedMachines()) {
+            if (mine(name) && !machines.containsKey(name)) {
+                machines.put(name, takeOver(name));
+            }
+        }
+        known = view;
+        knownAtAll = true;
+    }
+
+    private MachineState takeOver(String name) {
+        // Until when may someone else have renewed the worker's lease? An owner that left the view had lost its own
+        // lease before; one that is still a member, or that we know nothing of, may not have seen the new view for as
+        // long as its entitlement can last.
+        String before = known.owner(name);
+        Long incarnation = before == null ? null : known.members().get(before);
+        boolean gone = knownAtAll && before != null && !membership.isMember(before, incarnation);
+        MachineState m = new MachineState(name, gone ? loop.now() : loop.now().plus(membership.life()));
+        m.epoch = membership.view().epoch();
+        return m;
+    }
+
+    private MachineState owned(String name) {
+        return machines.computeIfAbsent(name, n -> takeOver((String) n));
+    }
+
+    // ---- reports
+
+    /** What to answer a report: null for 503, a node's name for 421, or the body of a 200. */
+    public record Answer(int status, String body) {
+    }
+
+    public Answer checkin(Report r) {
+        if (!membership.entitled() || !mirror.loaded()) {
+            return new Answer(503, "{\"error\":\"not entitled\"}");
+        }
+        if (!mine(r.machine())) {
+            stray(r.machine());
+            return new Answer(421, "{\"director\":\"" + membership.view().owner(r.machine()) + "\"}");
+        }
+        strays.remove(r.machine());
+        MachineState m = owned(r.machine());
+        List<Command> commands = List.of();
+        if (r.newerThan(m.report)) {
+            take(m, r, true);
+            commands = commands(m, MAX_COMMANDS);
+        }
+        m.renewed = later(m.renewed, loop.now());
+        String body = Command.reply(m.token(), commands);
+        note(m, commands, false);
+        wake.run();
+        return new Answer(200, body);
+    }
+
+    private static Instant later(Instant a, Instant b) {
+        return a.isAfter(b) ? a : b;
+    }
+
+    private void stray(String machine) {
+        // A worker that is sent to its owner and comes back has not reached it. Moving the machine costs an epoch, so
+        // it is asked for only after several rounds.
+        Instant now = loop.now();
+        Instant[] seen = strays.get(machine);
+        if (seen == null || now.isAfter(seen[1].plusSeconds(15))) {
+            strays.put(machine, new Instant[] {now, now, null});
+            return;
+        }
+        seen[1] = now;
+        if (now.isAfter(seen[0].plusSeconds(6))) {
+            membership.wantMove(machine);
+            strays.remove(machine);
+        }
+    }
+
+    private void take(MachineState m, Report r, boolean fromCheckin) {
+        Report before = m.report;
+        m.report = r;
+        m.heard = loop.now();
+        if (r.noticeS() != null && m.noticeUntil == null) {
+            m.noticeUntil = loop.now().plusMillis((long) (r.noticeS() * 1000));
+        }
+        if (before != null && r.session() > before.session()) {
+            m.attempts.clear();
+        }
+        MachineRecord record = ledger.machine(r.machine());
+        for (Claim c : List.copyOf(ledger.claimsOn(m.name).values())) {
+            if (c.session() < r.session()) {
+                // A later session: the worker has killed and forgotten everything from before.
+                end(c, Ending.RETRY);
+            } else if (c.session() == r.session()) {
+                Report.Entry e = r.find(c.task(), c.attempt());
+                Attempt a = m.attempt(c.task(), c.attempt());
+                if (e == null) {
+                    absent(m, c, a, r, fromCheckin);
+                } else {
+                    present(m, c, a, e);
+                }
+            }
+        }
+        if (record == null) {
+            adopt(m, r);
+        }
+    }
+
+    private void absent(MachineState m, Claim c, Attempt a, Report r, boolean fromCheckin) {
+        boolean unwanted = a.stop != null || cancelled(c);
+        if (!a.seen && !unwanted) {
+            return;
+        }
+        // Absence in a report proves something only if no run can arrive any more: answers to reports can't be late
+        // beyond the next report, and a run by /do is ruled out once the worker has seen a higher token.
+        if (fromCheckin && r.token() >= m.epoch << 32 && r.token() > a.directToken) {
+            end(c, a.stop == StopReason.LATE ? Ending.LATE : Ending.RETRY);
+        } else if (a.directToken >= m.token()) {
+            m.fence++;
+            m.ranDirectly = false;
+        }
+    }
+
+    private boolean cancelled(Claim c) {
+        Job j = ledger.job(c.task().job());
+        return j == null || j.cancelled();
+    }
+
+    private void present(MachineState m, Claim c, Attempt a, Report.Entry e) {
+        Instant now = loop.now();
+        boolean first = !a.seen;
+        a.seen = true;
+        switch (e.state()) {
+            case FETCHING -> {
+                if (a.fetchFrom == null) {
+                    a.fetchFrom = first && a.sawFetchStart ? a.fetchFrom : startOf(c);
+                    a.sawFetchStart = true;
+                }
+            }
+            case RUNNING -> {
+                if (a.runFrom == null) {
+                    a.runFrom = now;
+                    a.sawRunStart = a.sawFetchStart || Duration.between(c.at(), loop.timeOfDay()).compareTo(settings.report().multipliedBy(2)) < 0;
+                    if (a.sawRunStart) {
+                        a.fetchSeconds = a.fetchFrom == null ? 0 : Duration.between(a.fetchFrom, now).toMillis() / 1e3;
+                    }
+                }
+                cacheImage(m, c);
+            }
+            case SAVING -> {
+            }
+            case EXITED -> exited(m, c, a, e.why());
+        }
+    }
+
+    /** The claim's age by the time of day, as a steady instant. */
+    private Instant startOf(Claim c) {
+        Duration age = Duration.between(c.at(), loop.timeOfDay());
+        return loop.now().minus(age.isNegative() ? Duration.ZERO : age);
+    }
+
+    private void exited(MachineState m, Claim c, Attempt a, String why) {
+        switch (why) {
+            case "done" -> {
+                double run = a.sawRunStart && a.runFrom != null ? Duration.between(a.runFrom, loop.now()).toMillis() / 1e3 : -1;
+                m.failedJobs.clear();
+                end(c, new Ending(true, false, false, a.fetchSeconds, run));
+            }
+            case "stopped" -> end(c, a.stop == StopReason.LATE ? Ending.LATE : Ending.RETRY);
+            case "error" -> {
+                LOG.info("{} failed on {}", c.task(), m.name);
+                m.avoid.add(c.task());
+                m.failedJobs.add(c.task().job());
+                end(c, Ending.FAILED);
+            }
+            case "no_room", "busy" -> {
+                LOG.info("{} refused by {}: {}", c.task(), m.name, why);
+                m.refusedUntil = loop.now().plusSeconds(4);
+                end(c, Ending.RETRY);
+            }
+            default -> {
+                LOG.info("{} refused by {}: {}", c.task(), m.name, why);
+                end(c, Ending.FAILED);
+            }
+        }
+    }
+
+    private void end(Claim c, Ending ending) {
+        if (endings.putIfAbsent(c.task(), ending) == null) {
+            LOG.debug("{} attempt {} on {} ended: {}", c.task(), c.attempt(), c.machine(), ending);
+        }
+    }
+
+    private void cacheImage(MachineState m, Claim c) {
+        Job j = ledger.job(c.task().job());
+        if (j != null) {
+            imageGb.put(j.spec().image(), (Double) j.spec().imageGb());
+        }
+    }
+
+    // ---- commands
+
+    private List<Command> commands(MachineState m, int most) {
+        List<Command> out = new ArrayList<>();
+        Report r = m.report;
+        if (r == null || ledger.machine(m.name) == null) {
+            return out;
+        }
+        Map<TaskId, Claim> claims = ledger.claimsOn(m.name);
+        for (Report.Entry e : r.tasks()) {
+            Claim c = claims.get(e.task());
+            boolean held = c != null && c.attempt() == e.attempt() && c.session() == r.session();
+            if (e.state() == Report.State.EXITED) {
+                if (!held) {
+                    // Whoever forgets can be made to start again by a run that is still under way: the token that
+                    // comes with a forget is higher than that of any run sent by /do.
+                    if (m.ranDirectly) {
+                        m.fence++;
+                        m.ranDirectly = false;
+                    }
+                    out.add(new Command(Command.Op.FORGET, e.task(), e.attempt(), Duration.ZERO));
+                }
+            } else if (!held) {
+                out.add(new Command(Command.Op.STOP, e.task(), e.attempt(), Duration.ZERO));
+            } else {
+                Attempt a = m.attempt(c.task(), c.attempt());
+                if (cancelled(c)) {
+                    a.stop = StopReason.CANCELLED;
+                }
+                if (a.stop != null) {
+                    Job j = ledger.job(c.task().job());
+                    Duration save = j == null || a.stop == StopReason.CANCELLED ? Duration.ZERO : j.spec().save();
+                    if (e.state() != Report.State.SAVING || a.stop == StopReason.CANCELLED) {
+                        out.add(new Command(Command.Op.STOP, e.task(), e.attempt(), save));
+                    }
+                }
+            }
+            if (out.size() >= most) {
+                return out;
+            }
+        }
+        for (Claim c : claims.values()) {
+            Attempt a = m.attempt(c.task(), c.attempt());
+            if (c.session() == r.session() && !a.seen && a.stop == null && !cancelled(c)
+                    && !endings.containsKey(c.task()) && r.find(c.task(), c.attempt()) == null && out.size() < most) {
+                out.add(new Command(Command.Op.RUN, c.task(), c.attempt(), Duration.ZERO));
+            }
+        }
+        return out;
+    }
+
+    private void note(MachineState m, List<Command> commands, boolean direct) {
+        for (Command c : commands) {
+            if (c.op() == Command.Op.RUN) {
+                Attempt a = m.attempt(c.task(), c.attempt());
+                if (a.fetchFrom == null) {
+                    a.fetchFrom = loop.now();
+                    a.sawFetchStart = true;
+                }
+                if (direct) {
+                    a.directToken = m.token();
+                    m.ranDirectly = true;
+                }
+            }
+        }
+    }
+
+    /** Sends what differs to the worker itself, without waiting for its next report. */
+    public void push(MachineState m) {
+        Instant now = loop.now();
+        if (m.directInFlight || now.isBefore(m.directNotBefore) || m.report == null || !membership.entitled()
+                || Duration.between(m.heard, now).compareTo(settings.report().multipliedBy(3)) > 0) {
+            return;
+        }
+        List<Command> commands = commands(m, MAX_DIRECT);
+        commands.removeIf(c -> c.op() == Command.Op.FORGET);
+        if (commands.isEmpty()) {
+            return;
+        }
+        note(m, commands, true);
+        m.directInFlight = true;
+        String body = Command.direct(m.token(), m.report.session(), commands);
+        long epoch = m.epoch;
+        calls.call(m.report.endpoint(), "POST", "/do", body, Duration.ofSeconds(3), reply -> {
+            m.directInFlight = false;
+            if (machines.get(m.name) != m || m.epoch != epoch && !mine(m.name)) {
+                return;
+            }
+            if (reply.status() == 200 || reply.status() == 409) {
+                try {
+                    Report r = Report.parse(Json.object(reply.body()));
+                    if (r.machine().equals(m.name) && r.newerThan(m.report)) {
+                        take(m, r, false);
+                    }
+                } catch (Json.BadMessage e) {
+                    LOG.warn("{}: an answer to /do can't be read: {}", m.name, e.getMessage());
+                }
+                m.directNotBefore = reply.status() == 409 ? loop.now().plusMillis(500) : loop.now().plusMillis(20);
+            } else {
+                // The worker's next report brings the same commands; here nothing is gained by hurry.
+                m.directNotBefore = loop.now().plusSeconds(3);
+            }
+            wake.run();
+        });
+    }
+
+    public void pushAll() {
+        for (MachineState m : machines.values()) {
+            push(m);
+        }
+    }
+
+    // ---- time passing
+
+    /** One turn of the loop over the owned machines: lease ends, lateness, records. */
+    public void step() {
+        if (!mirror.loaded() || !membership.entitled()) {
+            return;
+        }
+        Instant now = loop.now();
+        for (MachineRecord r : ledger.machines()) {
+            if (mine(r.name())) {
+                owned(r.name());
+            }
+        }
+        for (String name : ledger.claimedMachines()) {
+            if (mine(name)) {
+                MachineState m = owned(name);
+                boolean leaseOver = now.isAfter(leaseEnd(m));
+                boolean returned = ledger.machine(name) == null;
+                if (leaseOver || returned) {
+                    // The worker's lease has run out on any clock, or the cloud has confirmed that the machine is gone.
+                    for (Claim c : ledger.claimsOn(name).values()) {
+                        end(c, Ending.RETRY);
+                    }
+                }
+            }
+        }
+        for (MachineState m : machines.values()) {
+            MachineRecord r = ledger.machine(m.name);
+            if (r != null) {
+                checkLateness(m, now);
+                drain(m, now);
+                keepRecord(m, r, now);
+            }
+        }
+        machines.values().removeIf(m -> ledger.machine(m.name) == null && ledger.claimsOn(m.name).isEmpty()
+                && Duration.between(later(m.renewed, m.heard.equals(Instant.MIN) ? m.renewed : m.heard), now).toMinutes() > 3);
+        endings.keySet().removeIf(t -> {
+            Job j = ledger.job(t.job());
+            return j == null || j.claim(t.index()) == null;
+        });
+        strays.values().removeIf(s -> now.isAfter(s[1].plusSeconds(60)));
+    }
+
+    private Instant leaseEnd(MachineState m) {
+        return m.renewed.plusNanos((long) (settings.workerLease().toNanos() * 1.002)).plus(LEASE_MARGIN);
+    }
+
+    public boolean usable(MachineRecord r) {
+        if (!mine(r.name())) {
+            return true;
+        }
+        MachineState m = machines.get(r.name());
+        return m != null && m.report != null && m.noticeUntil == null && !loop.now().isBefore(m.refusedUntil)
+                && Duration.between(m.heard, loop.now()).compareTo(settings.report().multipliedBy(2)) < 0;
+    }
+
+    public boolean avoided(TaskId task, String machine) {
+        MachineState m = machines.get(machine);
+        return m != null && m.avoid.contains(task);
+    }
+
+    private void checkLateness(MachineState m, Instant now) {
+        for (Claim c : ledger.claimsOn(m.name).values()) {
+            Attempt a = m.attempts.get(c.task());
+            Job j = ledger.job(c.task().job());
+            // A running task goes on: what is late there is not restarted.
+            if (a == null || a.number != c.attempt() || !a.seen || a.runFrom != null || a.fetchFrom == null
+                    || a.stop != null || j == null || j.doneCount() < operator.lateMinimumDone()
+                    || j.stored(j.chunkOf(c.task().index())).wasLate(c.task().index())) {
+                continue;
+            }
+            Duration fetch = Ledger.median(j, true);
+            Duration run = Ledger.median(j, false);
+            if (fetch == null || run == null) {
+                continue;
+            }
+            Duration t = Lateness.estimateFetching(Duration.between(a.fetchFrom, now), fetch, run);
+            double p = Lateness.coefficient(t, fetch.plus(run));
+            if (p > operator.lateThreshold()) {
+                lateFired++;
+                LOG.info("late: {} on {} has fetched for {} (medians {} and {}), p = {}", c.task(), m.name,
+                        Duration.between(a.fetchFrom, now), fetch, run, p);
+                a.stop = StopReason.LATE;
+            }
+        }
+    }
+
+    /** On a machine that is about to be taken, stops what can't be done in time, so that it starts elsewhere sooner. */
+    private void drain(MachineState m, Instant now) {
+        if (m.noticeUntil == null) {
+            return;
+        }
+        Duration left = Duration.between(now, m.noticeUntil);
+        for (Claim c : ledger.claimsOn(m.name).values()) {
+            Attempt a = m.attempts.get(c.task());
+            Job j = ledger.job(c.task().job());
+            if (a == null || a.number != c.attempt() || a.stop != null || j == null) {
+                continue;
+            }
+            Duration run = Ledger.median(j, false);
+            Duration whole = run == null ? j.spec().guess() : run;
+            Duration elapsed = a.runFrom == null ? Duration.ZERO : Duration.between(a.runFrom, now);
+            if (whole.minus(elapsed).toMillis() > left.toMillis() * 1.3) {
+                a.stop = StopReason.DRAINED;
+            }
+        }
+    }
+
+    public long lateFired() {
+        return lateFired;
+    }
+
+    // ---- records
+
+    private void adopt(MachineState m, Report r) {
+        if (m.recordInFlight) {
+            return;
+        }
+        LOG.info("adopting {}, which reports and is in no record", m.name);
+        MachineRecord fresh = new MachineRecord(r.machine(), r.type(), r.zone(), r.spot(), r.endpoint(), Condition.UP,
+                r.session(), loop.timeOfDay(), List.of());
+        write(m, fresh, 0);
+    }
+
+    private void keepRecord(MachineState m, MachineRecord r, Instant now) {
+        if (m.recordInFlight) {
+            return;
+        }
+        MachineRecord wanted = r;
+        Condition c = r.condition();
+        if (m.report != null) {
+            List<String> images = imagesOf(m, r);
+            if (m.report.session() != r.session() || !m.report.endpoint().equals(r.endpoint()) || !images.equals(r.images())) {
+                wanted = wanted.reported(m.report.endpoint(), m.report.session(),
+                        m.report.session() > r.session() && r.session() > 0 ? r.images() : images);
+            }
+            boolean fresh = Duration.between(m.heard, now).compareTo(settings.report().multipliedBy(2)) < 0;
+            if (fresh && (c == Condition.BOOTING || c == Condition.SILENT || c == Condition.UP)) {
+                c = m.failedJobs.size() >= 2 ? Condition.FAULTY : m.noticeUntil != null ? Condition.DRAINING : Condition.UP;
+            } else if (fresh && c == Condition.DRAINING && m.noticeUntil == null) {
+                c = Condition.UP;
+            }
+        }
+        Instant lastSign = m.report == null ? m.renewed : m.heard;
+        if ((c == Condition.UP || c == Condition.DRAINING)
+                && Duration.between(lastSign, now).compareTo(settings.report().multipliedBy(5).dividedBy(2)) > 0) {
+            c = Condition.SILENT;
+        }
+        wanted = wanted.with(c, loop.timeOfDay());
+        if (!wanted.equals(r)) {
+            write(m, wanted, mirror.stamp(Keys.machine(m.name)));
+        }
+    }
+
+    private List<String> imagesOf(MachineState m, MachineRecord r) {
+        List<String> images = new ArrayList<>(r.images());
+        for (Claim c : ledger.claimsOn(m.name).values()) {
+            Attempt a = m.attempts.get(c.task());
+            Job j = ledger.job(c.task().job());
+            if (j != null && a != null && a.runFrom != null && a.number == c.attempt() && !images.contains(j.spec().image())) {
+                images.add(0, j.spec().image());
+            }
+        }
+        MachineType type = ledger.types().get(r.type());
+        double room = type == null ? 0 : type.cacheGb();
+        List<String> kept = new ArrayList<>();
+        for (String image : images) {
+            room -= imageGb.getOrDefault(image, (Double) 5.0);
+            if (room >= 0 && kept.size() < 20) {
+                kept.add(image);
+            }
+        }
+        return kept;
+    }
+
+    private void write(MachineState m, MachineRecord wanted, long stamp) {
+        m.recordInFlight = true;
+        StateStore.Txn txn = new StateStore.Txn().guard(Keys.VIEW, membership.viewStamp())
+                .guard(Keys.machine(m.name), stamp).set(Keys.machine(m.name), wanted.toJson());
+        store.commit(txn, StateStore.Urgency.WORK, r -> {
+            m.recordInFlight = false;
+            if (r.ok()) {
+                mirror.committed(txn, r.edition());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/MachineState.java
@@ -0,0 +1,76 @@
+package org.havenford.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Set;
+import org.havenford.protocol.Report;
+import org.havenford.protocol.TaskId;
+
+/** What this controller knows of a machine that it owns. Kept in memory only: a successor starts from nothing. */
+final class MachineState {
+    /** Why a task is to be stopped, although its claim still holds. */
+    enum StopReason {
+        CANCELLED, LATE, PREEMPTED, DRAINED
+    }
+
+    /** One claimed attempt as seen from here. */
+    static final class Attempt {
+        final long number;
+        /** The worker has shown it in a report: {@code run} must not be sent again. */
+        boolean seen;
+        /** Token of the last {@code run} that went out by /do; only a higher one, seen by the worker, rules it out. */
+        long directToken = -1;
+        /** When the phases began, where this controller saw it happen. */
+        Instant fetchFrom;
+        Instant runFrom;
+        boolean sawFetchStart;
+        boolean sawRunStart;
+        double fetchSeconds = -1;
+        StopReason stop;
+        Instant stopSent;
+
+        Attempt(long number) {
+            this.number = number;
+        }
+    }
+
+    final String name;
+    Report report;
+    /** Steady time of the newest report. */
+    Instant heard = Instant.MIN;
+    /** The last moment at which any owner could have renewed the worker's lease. */
+    Instant renewed;
+    long epoch;
+    long fence;
+    /** A {@code run} has gone out by /do under the present fence. */
+    boolean ranDirectly;
+    boolean directInFlight;
+    Instant directNotBefore = Instant.MIN;
+    Instant refusedUntil = Instant.MIN;
+    boolean recordInFlight;
+    Instant noticeUntil;
+    final Object2ObjectOpenHashMap<TaskId, Attempt> attempts = new Object2ObjectOpenHashMap<>();
+    /** Jobs that failed here since the last task that completed. */
+    final Set<String> failedJobs = new HashSet<>();
+    /** Tasks that failed here; they are placed elsewhere. */
+    final Set<TaskId> avoid = new HashSet<>();
+
+    MachineState(String name, Instant renewed) {
+        this.name = name;
+        this.renewed = renewed;
+    }
+
+    long token() {
+        return epoch << 32 | fence;
+    }
+
+    Attempt attempt(TaskId task, long number) {
+        Attempt a = attempts.get(task);
+        if (a == null || a.number != number) {
+            a = new Attempt(number);
+            attempts.put(task, a);
+        }
+        return a;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -0,0 +1,260 @@
+package org.havenford.coordination;
+
+import com.google.gson.JsonObject;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.TreeMap;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Mirror;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.protocol.Json;
+import org.havenford.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps this node's lease and its place in the view. The wanted view holds exactly the nodes whose leased key exists;
+ * any member whose copy of the store shows a difference proposes it by compare-and-set.
+ */
+public final class Membership {
+    private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+    /** Steady clocks drift apart by 0.05%; twice that, and the time that a tick may be late. */
+    private static final double DRIFT = 0.001;
+    private static final Duration MARGIN = Duration.ofMillis(150);
+
+    private record Member(long incarnation, long stamp) {
+    }
+
+    private final EventLoop loop;
+    private final StateStore store;
+    private final String node;
+    private final Duration life;
+    private final Mirror mirror;
+    private final Runnable changed;
+    private final TreeMap<String, Member> members = new TreeMap<>();
+    private final TreeMap<String, String> wantedMoves = new TreeMap<>();
+    private View view = View.empty();
+    private long viewStamp;
+    private long permit;
+    private boolean registered;
+    private boolean proposing;
+    private Instant leaseUntil = Instant.MIN;
+    private Instant viewUntil = Instant.MIN;
+    private Instant lastProposal = Instant.MIN;
+
+    public Membership(EventLoop loop, StateStore store, Mirror mirror, String node, Duration life, Runnable changed) {
+        this.loop = loop;
+        this.store = store;
+        this.mirror = mirror;
+        this.node = node;
+        this.life = life;
+        this.changed = changed;
+    }
+
+    public void start() {
+        acquire();
+    }
+
+    public View view() {
+        return view;
+    }
+
+    public long viewStamp() {
+        return viewStamp;
+    }
+
+    public Duration life() {
+        return life;
+    }
+
+    /**
+     * Whether this node may answer workers. Counted from the sending of the last good renewal, and from the sending of
+     * the last comparison that found the view as we hold it: a node whose watch is stuck must not go on under a view
+     * that others have replaced.
+     */
+    public boolean entitled() {
+        Instant now = loop.now();
+        return now.isBefore(leaseUntil) && now.isBefore(viewUntil) && isMember();
+    }
+
+    public boolean leaseHolds() {
+        return loop.now().isBefore(leaseUntil);
+    }
+
+    private boolean isMember() {
+        Long incarnation = view.members().get(node);
+        return incarnation != null && incarnation == permit && permit != 0;
+    }
+
+    public boolean isMember(String other, long incarnation) {
+        Long current = view.members().get(other);
+        return current != null && current == incarnation;
+    }
+
+    private Instant until(Instant sent) {
+        return sent.plusNanos((long) (life.toNanos() * (1 - DRIFT))).minus(MARGIN);
+    }
+
+    private void acquire() {
+        Instant sent = loop.now();
+        registered = false;
+        store.createLease(life, r -> {
+            if (!r.ok()) {
+                loop.after(Duration.ofMillis(300), this::acquire);
+                return;
+            }
+            try {
+                permit = Json.count(r.body(), "permit");
+                leaseUntil = until(sent);
+                register();
+                loop.after(life.dividedBy(4), () -> renew(permit));
+            } catch (Json.BadMessage e) {
+                LOG.warn("state service: a lease could not be read: {}", e.getMessage());
+                loop.after(Duration.ofSeconds(1), this::acquire);
+            }
+        });
+    }
+
+    private void renew(long renewed) {
+        if (renewed != permit) {
+            return;
+        }
+        Instant sent = loop.now();
+        store.renewLease(renewed, r -> {
+            if (renewed != permit) {
+                return;
+            }
+            if (r.outcome() == StateStore.Outcome.ABSENT) {
+                LOG.info("the membership lease has ended");
+                leaseUntil = Instant.MIN;
+                permit = 0;
+                acquire();
+                return;
+            }
+            if (r.ok()) {
+                leaseUntil = until(sent);
+            }
+            loop.after(r.ok() ? life.dividedBy(4) : Duration.ofMillis(300), () -> renew(renewed));
+        });
+        if (registered && viewStamp > 0) {
+            compare();
+        }
+    }
+
+    private void compare() {
+        Instant sent = loop.now();
+        long compared = viewStamp;
+        store.commit(new StateStore.Txn().guard(Keys.VIEW, compared), StateStore.Urgency.LEASE, r -> {
+            if (r.ok() && compared == viewStamp) {
+                viewUntil = until(sent);
+            }
+        });
+    }
+
+    private void register() {
+        long mine = permit;
+        JsonObject value = new JsonObject();
+        value.addProperty("incarnation", mine);
+        StateStore.Txn txn = new StateStore.Txn().set(Keys.member(node), value, mine);
+        store.commit(txn, StateStore.Urgency.LEASE, r -> {
+            if (mine != permit) {
+                return;
+            }
+            if (r.outcome() == StateStore.Outcome.REJECTED) {
+                permit = 0;
+                loop.after(Duration.ofMillis(300), this::acquire);
+            } else if (r.ok()) {
+                registered = true;
+                mirror.committed(txn, r.edition());
+            } else {
+                loop.after(Duration.ofMillis(300), this::register);
+            }
+        });
+    }
+
+    public void memberChanged(String name, JsonObject value, long stamp) {
+        try {
+            if (value == null) {
+                members.remove(name);
+            } else {
+                members.put(name, new Member(Json.count(value, "incarnation"), stamp));
+            }
+        } catch (Json.BadMessage e) {
+            LOG.error("the member {} can't be read: {}", name, e.getMessage());
+        }
+    }
+
+    public void viewChanged(JsonObject value, long stamp) {
+        try {
+            View next = value == null ? View.empty() : View.parse(value);
+            if (next.epoch() < view.epoch()) {
+                LOG.error("the view went back from epoch {} to {}", view.epoch(), next.epoch());
+                return;
+            }
+            view = next;
+            viewStamp = value == null ? 0 : stamp;
+            viewUntil = Instant.MIN;
+            LOG.info("view {}: members {}, moved {}", view.epoch(), view.members(), view.moved().size());
+            store.share(view.members().size());
+            wantedMoves.keySet().removeIf(m -> node.equals(view.owner(m)));
+            if (registered && viewStamp > 0) {
+                compare();
+            }
+            changed.run();
+        } catch (Json.BadMessage | RuntimeException e) {
+            LOG.error("the view can't be read", e);
+        }
+    }
+
+    /** Asks for a machine that seems unable to reach its owner. */
+    public void wantMove(String machine) {
+        wantedMoves.put(machine, node);
+    }
+
+    /** One turn of the loop: proposes the wanted view if it differs from the one in force. */
+    public void step() {
+        if (!mirror.loaded() || !registered || !leaseHolds() || proposing) {
+            return;
+        }
+        TreeMap<String, Long> wanted = new TreeMap<>();
+        members.forEach((name, m) -> wanted.put(name, m.incarnation()));
+        Long mine = wanted.get(node);
+        if (mine == null || mine != permit) {
+            return;
+        }
+        boolean sameMembers = wanted.equals(view.members());
+        boolean moves = !wantedMoves.isEmpty() && !loop.now().isBefore(lastProposal.plusSeconds(2));
+        if (sameMembers && !moves) {
+            return;
+        }
+        TreeMap<String, String> moved = new TreeMap<>();
+        if (sameMembers) {
+            moved.putAll(view.moved());
+            moved.putAll(wantedMoves);
+        }
+        View next = new View(view.epoch() + 1, wanted, moved);
+        StateStore.Txn txn = new StateStore.Txn().guard(Keys.VIEW, viewStamp);
+        // A member leaves only while its leased key is certainly gone (or a later life of the node has replaced it),
+        // so it can no longer hold itself entitled.
+        TreeMap<String, Long> all = new TreeMap<>(wanted);
+        all.putAll(view.members());
+        for (String name : all.keySet()) {
+            Member m = members.get(name);
+            txn.guard(Keys.member(name), m == null ? 0 : m.stamp());
+        }
+        txn.set(Keys.VIEW, next.toJson());
+        proposing = true;
+        lastProposal = loop.now();
+        store.commit(txn, StateStore.Urgency.LEASE, r -> {
+            proposing = false;
+            if (r.ok()) {
+                mirror.committed(txn, r.edition());
+            }
+        });
+    }
+
+    public Map<String, String> wantedMoves() {
+        return wantedMoves;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -0,0 +1,442 @@
+package org.havenford.coordination;
+
+import com.google.gson.JsonObject;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.Ledger.Booking;
+import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.bookkeeping.MachineRecord.Condition;
+import org.havenford.bookkeeping.Mirror;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.bookkeeping.TokenBucket;
+import org.havenford.protocol.CloudMessages;
+import org.havenford.protocol.CloudMessages.Listed;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.MachineType;
+import org.havenford.protocol.Settings;
+import org.havenford.transport.EventLoop;
+import org.havenford.transport.HttpCalls;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Rents and returns machines; active on the view's first member alone. All that must survive it is in the store: an
+ * intent before each rental, and the condition RETURNING before each return.
+ */
+public final class Provisioner {
+    private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
+    private static final Duration TIMEOUT = Duration.ofSeconds(4);
+    private static final Duration AVERAGE_OVER = Duration.ofSeconds(120);
+
+    private final EventLoop loop;
+    private final HttpCalls calls;
+    private final Settings settings;
+    private final Operator operator;
+    private final Ledger ledger;
+    private final Mirror mirror;
+    private final StateStore store;
+    private final Membership membership;
+    private final Runnable wake;
+    private final TokenBucket budget;
+
+    private final Set<String> inFlight = new HashSet<>();
+    private final Map<String, Instant> refused = new HashMap<>();
+    private final Map<String, Instant> idleSince = new HashMap<>();
+    private final Map<String, Instant> returned = new HashMap<>();
+    private final Map<String, Instant> lastListed = new HashMap<>();
+    private final Set<String> failed = new HashSet<>();
+    private final Object2DoubleOpenHashMap<String> average = new Object2DoubleOpenHashMap<>();
+    private Instant averagedAt;
+    private Instant nextTypes = Instant.MIN;
+    private Instant nextList = Instant.MIN;
+    private Instant nextRent = Instant.MIN;
+    private Instant lastFullList = Instant.MIN;
+    private boolean listing;
+    private String typesText = "";
+    private long counter;
+    private boolean active;
+
+    public Provisioner(EventLoop loop, HttpCalls calls, Settings settings, Operator operator, Ledger ledger, Mirror mirror,
+            StateStore store, Membership membership, Runnable wake) {
+        this.loop = loop;
+        this.calls = calls;
+        this.settings = settings;
+        this.operator = operator;
+        this.ledger = ledger;
+        this.mirror = mirror;
+        this.store = store;
+        this.membership = membership;
+        this.wake = wake;
+        this.budget = new TokenBucket(settings.cloudRps() * 0.8, 1, loop.now());
+    }
+
+    public void step() {
+        boolean first = mirror.loaded() && membership.entitled() && settings.node().equals(membership.view().first());
+        if (!first) {
+            active = false;
+            return;
+        }
+        Instant now = loop.now();
+        if (!active) {
+            active = true;
+            inFlight.clear();
+            idleSince.clear();
+            lastListed.clear();
+            lastFullList = Instant.MIN;
+            averagedAt = null;
+        }
+        types(now);
+        list(now);
+        judge(now);
+        giveBack();
+        bookings();
+        if (!ledger.types().isEmpty()) {
+            size(now);
+        }
+    }
+
+    private boolean call(String method, String path, String body, java.util.function.Consumer<HttpCalls.Reply> done) {
+        if (!budget.has(1, loop.now())) {
+            return false;
+        }
+        budget.take(1);
+        calls.call(settings.cloudAddress(), method, path, body, TIMEOUT, done);
+        return true;
+    }
+
+    private void write(StateStore.Txn txn, Runnable after) {
+        txn.guard(Keys.VIEW, membership.viewStamp());
+        store.commit(txn, StateStore.Urgency.WORK, r -> {
+            if (r.ok()) {
+                mirror.committed(txn, r.edition());
+            }
+            after.run();
+            wake.run();
+        });
+    }
+
+    // ---- what the cloud says
+
+    private void types(Instant now) {
+        if (now.isBefore(nextTypes)) {
+            return;
+        }
+        if (call("GET", "/machine_types", null, reply -> {
+            nextTypes = loop.now().plusSeconds(ledger.types().isEmpty() ? 1 : 45);
+            if (!reply.ok()) {
+                return;
+            }
+            try {
+                JsonObject value = MachineType.toJson(MachineType.parseAll(Json.object(reply.body())));
+                if (!value.toString().equals(typesText)) {
+                    String text = value.toString();
+                    write(new StateStore.Txn().set(Keys.TYPES, value), () -> typesText = text);
+                }
+            } catch (Json.BadMessage e) {
+                LOG.warn("cloud: the machine types can't be read: {}", e.getMessage());
+            }
+        })) {
+            nextTypes = now.plusSeconds(5);
+        }
+    }
+
+    private void list(Instant now) {
+        if (listing || now.isBefore(nextList)) {
+            return;
+        }
+        listing = true;
+        nextList = now.plusSeconds(3);
+        page(now, "", new HashMap<>());
+    }
+
+    private void page(Instant asked, String after, Map<String, Listed> all) {
+        String path = "/machines?limit=500" + (after.isEmpty() ? "" : "&since=" + after);
+        if (!call("GET", path, null, reply -> {
+            if (!reply.ok()) {
+                listing = false;
+                return;
+            }
+            try {
+                CloudMessages.Page p = CloudMessages.page(reply.body());
+                String last = after;
+                for (Listed m : p.machines()) {
+                    all.put(m.machine(), m);
+                    last = m.machine();
+                }
+                if (p.more() && !last.equals(after)) {
+                    page(asked, last, all);
+                } else {
+                    listing = false;
+                    listed(asked, all);
+                }
+            } catch (Json.BadMessage e) {
+                listing = false;
+                LOG.warn("cloud: the machine list can't be read: {}", e.getMessage());
+            }
+        })) {
+            listing = false;
+        }
+    }
+
+    private void listed(Instant asked, Map<String, Listed> all) {
+        lastFullList = asked;
+        all.keySet().forEach(name -> lastListed.put(name, asked));
+        failed.clear();
+        StateStore.Txn adopt = new StateStore.Txn();
+        for (Listed m : all.values()) {
+            if (m.status() == CloudMessages.Status.FAILED) {
+                failed.add(m.machine());
+            }
+            // A machine that nobody has a record of: a rental that was carried out late, or whose answer was lost.
+            if (ledger.machine(m.machine()) == null && !returned.containsKey(m.machine()) && ledger.bookings().isEmpty()
+                    && m.age().compareTo(Duration.ofSeconds(10)) > 0 && adopt.writes() < settings.txnOps() - 2) {
+                LOG.info("adopting {}, which the cloud lists and is in no record", m.machine());
+                adopt.guard(Keys.machine(m.machine()), 0);
+                adopt.set(Keys.machine(m.machine()), new MachineRecord(m.machine(), m.type(), m.zone(), m.spot(),
+                        m.endpoint(), Condition.BOOTING, 0, loop.timeOfDay().minus(m.age()), List.of()).toJson());
+            }
+        }
+        if (adopt.writes() > 0) {
+            write(adopt, () -> { });
+        }
+        lastListed.values().removeIf(at -> at.isBefore(asked.minusSeconds(600)));
+        returned.values().removeIf(at -> at.isBefore(asked.minusSeconds(600)));
+    }
+
+    // ---- machines that should go
+
+    private Duration age(MachineRecord r) {
+        return Duration.between(r.since(), loop.timeOfDay());
+    }
+
+    private void judge(Instant now) {
+        StateStore.Txn txn = new StateStore.Txn();
+        for (MachineRecord r : ledger.machines()) {
+            if (txn.writes() >= settings.txnOps() - 2 || inFlight.contains(r.name())) {
+                continue;
+            }
+            String why = unfit(r, now);
+            if (why != null) {
+                LOG.info("returning {}: {}", r.name(), why);
+                markReturning(txn, r);
+            }
+        }
+        if (txn.writes() > 0) {
+            List<String> keys = List.copyOf(txn.keys());
+            keys.forEach(k -> inFlight.add(k.substring(Keys.MACHINES.length())));
+            write(txn, () -> keys.forEach(k -> inFlight.remove(k.substring(Keys.MACHINES.length()))));
+        }
+    }
+
+    private void markReturning(StateStore.Txn txn, MachineRecord r) {
+        String key = Keys.machine(r.name());
+        txn.guard(key, mirror.stamp(key)).set(key, r.with(Condition.RETURNING, loop.timeOfDay()).toJson());
+    }
+
+    private String unfit(MachineRecord r, Instant now) {
+        if (failed.contains(r.name()) && r.condition() != Condition.RETURNING) {
+            return "the cloud lists it as failed";
+        }
+        MachineType t = ledger.types().get(r.type());
+        Duration boot = t == null ? Duration.ofSeconds(60) : t.boot();
+        switch (r.condition()) {
+            case BOOTING:
+                return age(r).compareTo(boot.multipliedBy(3).plusSeconds(20)) > 0 ? "it does not come up" : null;
+            case FAULTY:
+                return ledger.claimsOn(r.name()).isEmpty() ? "tasks of several jobs failed on it" : null;
+            case SILENT:
+                if (age(r).compareTo(settings.workerLease().plus(operator.silentBeforeReturn())) > 0) {
+                    return "it has been silent for too long";
+                }
+                // Once listed, a machine stays listed until it is gone. The list may lag by twice its usual lag, and
+                // it is no proof: the return that follows is.
+                Instant silentFrom = now.minus(age(r));
+                Instant seen = lastListed.get(r.name());
+                boolean missing = seen != null && seen.isBefore(silentFrom.plus(settings.listLag().multipliedBy(2)))
+                        && lastFullList.isAfter(silentFrom.plus(settings.listLag().multipliedBy(2)));
+                return missing && !lastFullList.equals(seen) ? "it is silent and no longer listed" : null;
+            default:
+                return null;
+        }
+    }
+
+    private void giveBack() {
+        List<MachineRecord> batch = new ArrayList<>();
+        for (MachineRecord r : ledger.machines()) {
+            if (r.condition() == Condition.RETURNING && !inFlight.contains(r.name()) && batch.size() < settings.txnOps() - 2) {
+                batch.add(r);
+            }
+        }
+        if (batch.isEmpty()) {
+            return;
+        }
+        List<String> names = batch.stream().map(MachineRecord::name).toList();
+        if (call("POST", "/machines/return", CloudMessages.giveBack(names), reply -> {
+            if (!reply.ok()) {
+                loop.after(Duration.ofSeconds(1), () -> inFlight.removeAll(names));
+                return;
+            }
+            names.forEach(n -> returned.put(n, loop.now()));
+            // By now the machines and all on them are gone. The records' absence tells the owners so.
+            StateStore.Txn txn = new StateStore.Txn();
+            for (String n : names) {
+                txn.guard(Keys.machine(n), mirror.stamp(Keys.machine(n))).delete(Keys.machine(n));
+            }
+            write(txn, () -> inFlight.removeAll(names));
+        })) {
+            inFlight.addAll(names);
+        }
+    }
+
+    // ---- rentals
+
+    private void bookings() {
+        for (Booking b : List.copyOf(ledger.bookings())) {
+            if (inFlight.contains(b.name())) {
+                continue;
+            }
+            if (call("POST", "/machines", CloudMessages.rent(b.name(), b.type(), b.zone(), b.spot(), b.count()),
+                    reply -> booked(b, reply))) {
+                inFlight.add(b.name());
+            }
+        }
+    }
+
+    private static String offer(String type, String zone, boolean spot) {
+        return type + "|" + zone + "|" + spot;
+    }
+
+    private void booked(Booking b, HttpCalls.Reply reply) {
+        String key = Keys.booking(b.name());
+        StateStore.Txn txn = new StateStore.Txn().guard(key, mirror.stamp(key)).delete(key);
+        if (reply.ok()) {
+            try {
+                List<String> names = CloudMessages.rented(reply.body());
+                LOG.info("rented {} of {} {} in {}{}", names.size(), b.count(), b.type(), b.zone(), b.spot() ? ", spot" : "");
+                if (names.size() < b.count()) {
+                    refused.put(offer(b.type(), b.zone(), b.spot()), loop.now());
+                }
+                for (String name : names) {
+                    if (ledger.machine(name) == null) {
+                        txn.guard(Keys.machine(name), 0).set(Keys.machine(name), new MachineRecord(name, b.type(), b.zone(),
+                                b.spot(), "", Condition.BOOTING, 0, loop.timeOfDay(), List.of()).toJson());
+                    }
+                }
+                write(txn, () -> inFlight.remove(b.name()));
+                return;
+            } catch (Json.BadMessage e) {
+                LOG.warn("cloud: the answer to a rental can't be read: {}", e.getMessage());
+            }
+        } else if (reply.status() == 503 || reply.status() == 400) {
+            refused.put(offer(b.type(), b.zone(), b.spot()), loop.now());
+            write(txn, () -> inFlight.remove(b.name()));
+            return;
+        }
+        loop.after(Duration.ofSeconds(1), () -> inFlight.remove(b.name()));
+    }
+
+    private boolean refusedLately(String offer, Instant now) {
+        Instant at = refused.get(offer);
+        return at != null && now.isBefore(at.plusSeconds(15));
+    }
+
+    private boolean exhausted(MachineType t, Instant now) {
+        return t.zones().stream().allMatch(z -> refusedLately(offer(t.name(), z, true), now)
+                && refusedLately(offer(t.name(), z, false), now));
+    }
+
+    private void size(Instant now) {
+        Map<String, Integer> have = new HashMap<>();
+        for (MachineRecord r : ledger.machines()) {
+            MachineType t = ledger.types().get(r.type());
+            boolean counts = switch (r.condition()) {
+                case UP, SILENT -> true;
+                case BOOTING -> t != null && age(r).compareTo(t.boot().multipliedBy(2)) < 0;
+                default -> false;
+            };
+            if (counts) {
+                have.merge(r.type(), 1, Integer::sum);
+            }
+        }
+        for (Booking b : ledger.bookings()) {
+            have.merge(b.type(), b.count(), Integer::sum);
+        }
+        Object2DoubleOpenHashMap<String> demand = Demand.machines(ledger, settings, t -> exhausted(t, now), have);
+        double weight = averagedAt == null ? 1 : Math.min(1, Duration.between(averagedAt, now).toMillis() / (double) AVERAGE_OVER.toMillis());
+        averagedAt = now;
+        Map<String, Integer> wanted = new HashMap<>();
+        for (MachineType t : ledger.types().values()) {
+            double d = demand.getDouble(t.name());
+            double a = average.getDouble(t.name());
+            a += (d - a) * weight;
+            average.put(t.name(), a);
+            wanted.put(t.name(), (int) Math.ceil(Math.max(d, a * (1 + operator.spareShare())) - 0.05));
+        }
+        rent(now, wanted, have);
+        trim(now, wanted, have);
+    }
+
+    private void rent(Instant now, Map<String, Integer> wanted, Map<String, Integer> have) {
+        if (now.isBefore(nextRent) || !ledger.bookings().isEmpty()) {
+            return;
+        }
+        for (MachineType t : ledger.types().values()) {
+            int missing = wanted.get(t.name()) - have.getOrDefault(t.name(), 0);
+            if (missing <= 0) {
+                continue;
+            }
+            // Spot first, and the zone with the fewest machines first.
+            for (boolean spot : new boolean[] {true, false}) {
+                List<String> zones = new ArrayList<>(t.zones());
+                zones.sort(Comparator.comparingLong((String z) -> ledger.machines().stream()
+                        .filter(m -> m.zone().equals(z) && m.type().equals(t.name())).count()).thenComparing(z -> z));
+                for (String z : zones) {
+                    if (refusedLately(offer(t.name(), z, spot), now)) {
+                        continue;
+                    }
+                    int count = Math.min(Math.min(missing, settings.txnOps() - 2), 8);
+                    String name = "r-" + membership.view().epoch() + "-" + membership.view().members().get(settings.node()) + "-" + ++counter;
+                    Booking b = new Booking(name, t.name(), z, spot, count, loop.timeOfDay());
+                    nextRent = now.plusMillis(500);
+                    write(new StateStore.Txn().guard(Keys.booking(name), 0).set(Keys.booking(name), b.toJson()), () -> { });
+                    return;
+                }
+            }
+        }
+    }
+
+    private void trim(Instant now, Map<String, Integer> wanted, Map<String, Integer> have) {
+        List<MachineRecord> idle = new ArrayList<>();
+        for (MachineRecord r : ledger.machines()) {
+            if (r.condition() != Condition.UP || !ledger.claimsOn(r.name()).isEmpty()) {
+                idleSince.remove(r.name());
+            } else if (now.isAfter(idleSince.computeIfAbsent(r.name(), n -> now).plus(operator.idleBeforeReturn()))) {
+                idle.add(r);
+            }
+        }
+        idleSince.keySet().removeIf(n -> ledger.machine(n) == null);
+        // Dear machines go first.
+        idle.sort(Comparator.comparing(MachineRecord::spot).thenComparing(MachineRecord::name));
+        for (MachineRecord r : idle) {
+            if (have.getOrDefault(r.type(), 0) > wanted.getOrDefault(r.type(), 0) && !inFlight.contains(r.name())) {
+                have.merge(r.type(), -1, Integer::sum);
+                StateStore.Txn txn = new StateStore.Txn();
+                markReturning(txn, r);
+                LOG.info("returning {}: idle", r.name());
+                inFlight.add(r.name());
+                write(txn, () -> inFlight.remove(r.name()));
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/Users.java
@@ -0,0 +1,254 @@
+package org.havenford.coordination;
+
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.Mirror;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.bookkeeping.StateStore.Outcome;
+import org.havenford.protocol.JobSpec;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.MachineType;
+import org.havenford.protocol.Settings;
+import org.havenford.transport.EventLoop;
+import org.havenford.transport.HttpServer.Response;
+
+/** What users ask. Whatever is not yet final is answered from the store itself, never from our copy alone. */
+public final class Users {
+    private static final Duration SOON = Duration.ofSeconds(1);
+
+    private final EventLoop loop;
+    private final Settings settings;
+    private final Ledger ledger;
+    private final Mirror mirror;
+    private final StateStore store;
+    private final Runnable wake;
+    /** Final states never change, so they can be answered from memory. */
+    private final Cache<String, String> finals = CacheBuilder.newBuilder().maximumSize(5000).build();
+
+    public Users(EventLoop loop, Settings settings, Ledger ledger, Mirror mirror, StateStore store, Runnable wake) {
+        this.loop = loop;
+        this.settings = settings;
+        this.ledger = ledger;
+        this.mirror = mirror;
+        this.store = store;
+        this.wake = wake;
+    }
+
+    private static Response error(int status, String why) {
+        JsonObject o = new JsonObject();
+        o.addProperty("error", why);
+        return Response.of(status, o.toString());
+    }
+
+    private static String state(String id, String status) {
+        return "{\"nameId\":\"" + id + "\",\"status\":\"" + status + "\"}";
+    }
+
+    private static String progress(String id, String status, int done, int running) {
+        return "{\"nameId\":\"" + id + "\",\"status\":\"" + status + "\",\"done\":" + done + ",\"running\":" + running + "}";
+    }
+
+    /** Refused at once: the state service is not to be reached, or more is waiting than can be done in time. */
+    private boolean overloaded() {
+        return !mirror.loaded() || store.queued(StateStore.Urgency.USER) > 60;
+    }
+
+    // ---- POST /submissions
+
+    public void submit(byte[] body, Consumer<Response> answer) {
+        if (body == null) {
+            answer.accept(error(400, "the body is larger than 64 KiB or incomplete"));
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = JobSpec.parse(Json.object(new String(body, StandardCharsets.UTF_8)));
+        } catch (Json.BadMessage e) {
+            answer.accept(error(400, e.getMessage()));
+            return;
+        }
+        String known = finals.getIfPresent(spec.id());
+        if (known != null) {
+            answer.accept(Response.of(200, known));
+            return;
+        }
+        if (overloaded() || ledger.types().isEmpty()) {
+            answer.accept(Response.comeBack(SOON));
+            return;
+        }
+        if (ledger.job(spec.id()) != null) {
+            read(spec.id(), answer);
+            return;
+        }
+        String never = cannotRun(spec);
+        if (never != null) {
+            // What looks impossible now may have been accepted when it was not; then it stays accepted.
+            read(spec.id(), r -> answer.accept(r.status() == 404 ? error(422, never) : r));
+            return;
+        }
+        accept(spec, answer);
+    }
+
+    private String cannotRun(JobSpec s) {
+        Settings.Team team = settings.teams().get(s.team());
+        if (team == null) {
+            return "unknown team";
+        }
+        if (team.cpusMax() > 0 && s.cpus() > team.cpusMax() || team.cardsMax() > 0 && s.cards() > team.cardsMax()) {
+            return "a task needs more than the team's limit";
+        }
+        for (MachineType t : ledger.types().values()) {
+            for (String zone : t.zones()) {
+                if (s.allows(t, zone, false)) {
+                    return null;
+                }
+            }
+        }
+        return "a task fits no allowed machine type";
+    }
+
+    private void accept(JobSpec given, Consumer<Response> answer) {
+        JobSpec spec = given;
+        if (given.types() != null) {
+            Set<String> kept = new TreeSet<>(given.types());
+            kept.retainAll(ledger.types().keySet());
+            spec = given.withTypes(kept);
+        }
+        String id = spec.id();
+        Job job = new Job(spec, loop.timeOfDay(), Job.chunkSize(settings.valueBytes()), false);
+        StateStore.Txn txn = new StateStore.Txn().guard(Keys.job(id), 0).guard(Keys.end(id), 0)
+                .set(Keys.job(id), job.header(false));
+        store.commit(txn, StateStore.Urgency.USER, r -> {
+            if (r.ok()) {
+                mirror.committed(txn, r.edition());
+                answer.accept(Response.of(201, state(id, "pending")));
+                wake.run();
+            } else if (r.outcome() == Outcome.CONFLICT) {
+                read(id, answer);
+            } else {
+                answer.accept(Response.comeBack(SOON));
+            }
+        });
+    }
+
+    // ---- GET /submissions/{id}
+
+    public void get(String id, Consumer<Response> answer) {
+        if (!JobSpec.validId(id)) {
+            answer.accept(error(404, "no such job"));
+            return;
+        }
+        String known = finals.getIfPresent(id);
+        if (known != null) {
+            answer.accept(Response.of(200, known));
+        } else if (overloaded()) {
+            answer.accept(Response.comeBack(SOON));
+        } else {
+            read(id, answer);
+        }
+    }
+
+    /** The header first, the final state second: a job that ends in between is found by the second call. */
+    private void read(String id, Consumer<Response> answer) {
+        store.get(Keys.job(id), StateStore.Urgency.USER, r -> {
+            if (r.ok()) {
+                answer.accept(Response.of(200, live(id, r.body())));
+            } else if (r.outcome() == Outcome.ABSENT) {
+                store.get(Keys.end(id), StateStore.Urgency.USER, e -> ended(id, e, answer));
+            } else {
+                answer.accept(Response.comeBack(SOON));
+            }
+        });
+    }
+
+    private String live(String id, JsonObject body) {
+        boolean cancelled;
+        try {
+            cancelled = Json.flagOr(Json.child(body, "v"), "_cancelled", false);
+        } catch (Json.BadMessage e) {
+            cancelled = false;
+        }
+        Job j = ledger.job(id);
+        int done = j == null ? 0 : j.doneCount();
+        int running = j == null ? 0 : j.claimCount();
+        if (cancelled) {
+            return progress(id, "withdrawn", done, 0);
+        }
+        return progress(id, running > 0 ? "running" : "pending", done, running);
+    }
+
+    private void ended(String id, StateStore.Result r, Consumer<Response> answer) {
+        if (r.ok()) {
+            try {
+                JsonObject v = Json.child(r.body(), "v");
+                String status = Json.text(v, "status");
+                int done = status.equals("done") ? (int) Json.count(v, "tasks") : 0;
+                String text = progress(id, status, done, 0);
+                finals.put(id, text);
+                answer.accept(Response.of(200, text));
+            } catch (Json.BadMessage e) {
+                answer.accept(Response.comeBack(SOON));
+            }
+        } else if (r.outcome() == Outcome.ABSENT) {
+            answer.accept(error(404, "no such job"));
+        } else {
+            answer.accept(Response.comeBack(SOON));
+        }
+    }
+
+    // ---- POST /submissions/{id}/abort
+
+    public void cancel(String id, Consumer<Response> answer) {
+        if (!JobSpec.validId(id)) {
+            answer.accept(error(404, "no such job"));
+        } else if (overloaded()) {
+            answer.accept(Response.comeBack(SOON));
+        } else {
+            cancel(id, 3, answer);
+        }
+    }
+
+    private void cancel(String id, int tries, Consumer<Response> answer) {
+        store.get(Keys.job(id), StateStore.Urgency.USER, r -> {
+            if (r.outcome() == Outcome.ABSENT) {
+                store.get(Keys.end(id), StateStore.Urgency.USER, e -> ended(id, e, answer));
+                return;
+            }
+            try {
+                if (!r.ok()) {
+                    answer.accept(Response.comeBack(SOON));
+                    return;
+                }
+                Job job = Job.parse(Json.child(r.body(), "v"));
+                if (job.cancelled()) {
+                    answer.accept(Response.of(200, state(id, "withdrawn")));
+                    return;
+                }
+                StateStore.Txn txn = new StateStore.Txn().guard(Keys.job(id), Json.count(r.body(), "stamp"))
+                        .set(Keys.job(id), job.header(true));
+                store.commit(txn, StateStore.Urgency.USER, c -> {
+                    if (c.ok()) {
+                        mirror.committed(txn, c.edition());
+                        answer.accept(Response.of(200, state(id, "withdrawn")));
+                        wake.run();
+                    } else if (c.outcome() == Outcome.CONFLICT && tries > 1) {
+                        cancel(id, tries - 1, answer);
+                    } else {
+                        answer.accept(Response.comeBack(SOON));
+                    }
+                });
+            } catch (Json.BadMessage e) {
+                answer.accept(Response.comeBack(SOON));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/protocol/CloudMessages.java
@@ -0,0 +1,62 @@
+package org.havenford.protocol;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The cloud's requests and answers. */
+public final class CloudMessages {
+    public enum Status {
+        STARTING, RUNNING, FAILED
+    }
+
+    public record Listed(String machine, String endpoint, String type, String zone, boolean spot, Status status,
+            Duration age) {
+    }
+
+    public record Page(List<Listed> machines, boolean more) {
+    }
+
+    private CloudMessages() {
+    }
+
+    public static String rent(String booking, String type, String zone, boolean spot, int count) {
+        JsonObject o = new JsonObject();
+        o.addProperty("booking", booking);
+        o.addProperty("rig", type);
+        o.addProperty("hall", zone);
+        o.addProperty("borrowed", spot);
+        o.addProperty("count", count);
+        return o.toString();
+    }
+
+    public static List<String> rented(String body) throws Json.BadMessage {
+        return Json.texts(Json.object(body), "boxes");
+    }
+
+    public static String giveBack(List<String> machines) {
+        JsonArray a = new JsonArray();
+        machines.forEach(a::add);
+        JsonObject o = new JsonObject();
+        o.add("boxes", a);
+        return o.toString();
+    }
+
+    public static Page page(String body) throws Json.BadMessage {
+        JsonObject o = Json.object(body);
+        List<Listed> out = new ArrayList<>();
+        for (JsonObject m : Json.objects(o, "boxes")) {
+            Status status = switch (Json.text(m, "status")) {
+                case "starting" -> Status.STARTING;
+                case "running" -> Status.RUNNING;
+                case "failed" -> Status.FAILED;
+                default -> throw new Json.BadMessage("status of a machine is unknown");
+            };
+            out.add(new Listed(Json.text(m, "nameId"), Json.textOr(m, "endpoint", ""), Json.text(m, "rig"),
+                    Json.text(m, "hall"), Json.flagOr(m, "borrowed", false), status, Json.seconds(m, "heldS")));
+        }
+        return new Page(out, Json.flagOr(o, "truncated", false));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/protocol/Settings.java
@@ -0,0 +1,91 @@
+package org.havenford.protocol;
+
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The file that the platform hands over. Unknown fields are ignored. */
+public record Settings(String node, String zone, String bind, String peerListen, List<Peer> peers, String cloudAddress,
+        String stateAddress, Map<String, Team> teams, Duration report, Duration workerLease, Duration cancel,
+        double stateRps, double stateWriteRps, int valueBytes, int txnOps, double cloudRps, Duration listLag,
+        int maxConnections, List<Objective> objectives) {
+
+    public record Peer(String node, String zone, String address) {
+    }
+
+    /** An aim of a class of jobs; {@code within} is null for deadlines, which every job brings itself. */
+    public record Objective(String kind, String lineup, Duration within) {
+    }
+
+    /** A team's share; a limit of 0 means none. */
+    public record Team(String name, double cpus, double cpusMax, double cards, double cardsMax) {
+        public boolean limited() {
+            return cpusMax > 0 || cardsMax > 0;
+        }
+    }
+
+    public static Settings read(Path file) throws IOException, Json.BadMessage {
+        return parse(Files.readString(file));
+    }
+
+    public static Settings parse(String text) throws Json.BadMessage {
+        JsonObject o = Json.object(text);
+        JsonObject endpoints = Json.child(o, "endpoints");
+        JsonObject deployment = Json.child(o, "deployment");
+        JsonObject workers = Json.child(deployment, "workers");
+        JsonObject state = Json.child(deployment, "state");
+        JsonObject cloud = Json.child(deployment, "cloud");
+        JsonObject resources = Json.has(deployment, "resources") ? Json.child(deployment, "resources") : new JsonObject();
+        List<Peer> peers = new ArrayList<>();
+        for (JsonObject p : Json.objects(o, "others")) {
+            peers.add(new Peer(Json.text(p, "node_name"), Json.textOr(p, "location", ""), Json.text(p, "peer_addr")));
+        }
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (JsonObject t : Json.objects(deployment, "teams")) {
+            Team team = new Team(Json.text(t, "name"), Json.amountOr(t, "cpus", 0), Json.amountOr(t, "cpus_max", 0),
+                    Json.amountOr(t, "gpus", 0), Json.amountOr(t, "gpus_max", 0));
+            teams.put(team.name(), team);
+        }
+        List<Objective> objectives = new ArrayList<>();
+        for (JsonObject a : Json.objects(deployment, "objectives")) {
+            objectives.add(new Objective(Json.textOr(a, "kind", ""), Json.textOr(a, "class", ""),
+                    Json.has(a, "within_s") ? Json.seconds(a, "within_s") : null));
+        }
+        return new Settings(Json.text(o, "node_name"), Json.text(o, "location"), address(o, "bind"),
+                address(o, "cluster_listen"), List.copyOf(peers), address(endpoints, "cloud"),
+                address(endpoints, "state"), teams, Json.seconds(workers, "report_s"),
+                Json.seconds(workers, "lease_s"), Json.seconds(workers, "cancel_s"), positive(state, "rps"),
+                positive(state, "write_rps"), (int) (positive(state, "value_kb") * 1024),
+                (int) Math.max(4, Json.count(state, "txn_ops")), positive(cloud, "rps"),
+                Json.seconds(cloud, "list_lag_s"), (int) Json.amountOr(resources, "max_connections", 1000),
+                List.copyOf(objectives));
+    }
+
+    private static double positive(JsonObject o, String field) throws Json.BadMessage {
+        double d = Json.amount(o, field);
+        if (d <= 0) {
+            throw new Json.BadMessage(field + " must be more than 0");
+        }
+        return d;
+    }
+
+    private static String address(JsonObject o, String field) throws Json.BadMessage {
+        String a = Json.text(o, field);
+        int colon = a.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(a.substring(colon + 1));
+            if (colon < 1 || port < 1 || port > 65535) {
+                throw new Json.BadMessage(field + " is not host:port");
+            }
+        } catch (NumberFormatException e) {
+            throw new Json.BadMessage(field + " is not host:port");
+        }
+        return a;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/transport/EventLoop.java
@@ -0,0 +1,17 @@
+package org.havenford.transport;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * The one thread on which all decisions are taken. {@link #now()} is a steady clock: its instants can only be compared
+ * with each other, and they do not jump when the time of day is corrected.
+ */
+public interface EventLoop {
+    Instant now();
+
+    /** Time of day, off by at most the bound that the settings name. Never used for leases. */
+    Instant timeOfDay();
+
+    void after(Duration delay, Runnable task);
+}
--- /dev/null
+++ b/src/main/java/org/havenford/transport/HttpCalls.java
@@ -0,0 +1,20 @@
+package org.havenford.transport;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/** Outgoing HTTP calls. The callback runs exactly once, on the event loop. */
+public interface HttpCalls {
+    /** Nothing was sent: the request can't be carried out later. */
+    int NOT_SENT = 0;
+    /** Sent, no answer: it may have been carried out, or may yet be. */
+    int NO_ANSWER = -1;
+
+    record Reply(int status, String body) {
+        public boolean ok() {
+            return status == 200;
+        }
+    }
+
+    void call(String address, String method, String path, String body, Duration timeout, Consumer<Reply> done);
+}
--- /dev/null
+++ b/src/main/java/org/havenford/transport/HttpClient.java
@@ -0,0 +1,199 @@
+package org.havenford.transport;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.StringReadChannelListener;
+import io.undertow.util.StringWriteChannelListener;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+
+/**
+ * Undertow's client on the event loop, with kept connections. A connection serves one call at a time; one whose call
+ * ran out of time is closed, so that a late answer can't be taken for the answer to a later call.
+ */
+public final class HttpClient implements HttpCalls {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
+    private static final int MAX_IDLE_PER_HOST = 8;
+    private final XnioLoop loop;
+    private final ByteBufferPool buffers;
+    private final int maxOpen;
+    private int open;
+    private final Object2ObjectOpenHashMap<String, ArrayDeque<ClientConnection>> idle = new Object2ObjectOpenHashMap<>();
+
+    public HttpClient(XnioLoop loop, ByteBufferPool buffers, int maxOpen) {
+        this.loop = loop;
+        this.buffers = buffers;
+        this.maxOpen = maxOpen;
+    }
+
+    @Override
+    public void call(String address, String method, String path, String body, Duration timeout, Consumer<Reply> done) {
+        new Call(address, method, path, body, done).start(timeout);
+    }
+
+    private ClientConnection pooled(String address) {
+        ArrayDeque<ClientConnection> queue = idle.get(address);
+        while (queue != null && !queue.isEmpty()) {
+            ClientConnection c = queue.pollLast();
+            if (c.isOpen()) {
+                return c;
+            }
+            IoUtils.safeClose(c);
+        }
+        if (queue != null) {
+            idle.remove(address);
+        }
+        return null;
+    }
+
+    private void release(String address, ClientConnection c) {
+        ArrayDeque<ClientConnection> queue = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
+        if (c.isOpen() && queue.size() < MAX_IDLE_PER_HOST) {
+            queue.addLast(c);
+        } else {
+            IoUtils.safeClose(c);
+        }
+    }
+
+    private final class Call implements ClientCallback<ClientExchange> {
+        private final String address;
+        private final String method;
+        private final String path;
+        private final String body;
+        private final Consumer<Reply> done;
+        private ClientConnection connection;
+        private boolean finished;
+        private boolean sent;
+
+        Call(String address, String method, String path, String body, Consumer<Reply> done) {
+            this.address = address;
+            this.method = method;
+            this.path = path;
+            this.body = body;
+            this.done = done;
+        }
+
+        void start(Duration timeout) {
+            loop.after(timeout, () -> fail("timeout"));
+            ClientConnection kept = pooled(address);
+            if (kept != null) {
+                connection = kept;
+                send();
+                return;
+            }
+            if (open >= maxOpen) {
+                loop.after(Duration.ZERO, () -> fail("too many connections"));
+                return;
+            }
+            UndertowClient.getInstance().connect(new ClientCallback<>() {
+                @Override
+                public void completed(ClientConnection c) {
+                    open++;
+                    c.getCloseSetter().set(ch -> open--);
+                    if (finished) {
+                        IoUtils.safeClose(c);
+                        return;
+                    }
+                    connection = c;
+                    send();
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail(e.toString());
+                }
+            }, URI.create("http://" + address), loop.thread(), buffers, OptionMap.EMPTY);
+        }
+
+        private void send() {
+            sent = true;
+            ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+            request.getRequestHeaders().put(Headers.HOST, address);
+            if (body != null) {
+                request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+                request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.getBytes(StandardCharsets.UTF_8).length);
+            } else if (!method.equals("GET")) {
+                request.getRequestHeaders().put(Headers.CONTENT_LENGTH, "0");
+            }
+            connection.sendRequest(request, this);
+        }
+
+        @Override
+        public void completed(ClientExchange exchange) {
+            exchange.setResponseListener(new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange answered) {
+                    int status = answered.getResponse().getResponseCode();
+                    boolean close = "close".equalsIgnoreCase(
+                            answered.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
+                    new StringReadChannelListener(buffers) {
+                        @Override
+                        protected void stringDone(String text) {
+                            finish(new Reply(status, text), !close);
+                        }
+
+                        @Override
+                        protected void error(IOException e) {
+                            fail(e.toString());
+                        }
+                    }.setup(answered.getResponseChannel());
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail(e.toString());
+                }
+            });
+            if (body != null) {
+                new StringWriteChannelListener(body).setup(exchange.getRequestChannel());
+            }
+        }
+
+        @Override
+        public void failed(IOException e) {
+            fail(e.toString());
+        }
+
+        private void fail(String why) {
+            if (!finished) {
+                LOG.debug("{} {}{} failed: {}", method, address, path, why);
+                finish(new Reply(sent ? NO_ANSWER : NOT_SENT, ""), false);
+            }
+        }
+
+        private void finish(Reply reply, boolean keep) {
+            if (finished) {
+                return;
+            }
+            finished = true;
+            ClientConnection c = connection;
+            if (c != null) {
+                if (keep) {
+                    release(address, c);
+                } else {
+                    IoUtils.safeClose(c);
+                }
+            }
+            try {
+                done.accept(reply);
+            } catch (RuntimeException e) {
+                LOG.error("handling the answer to {} {} failed", method, path, e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/transport/XnioLoop.java
@@ -0,0 +1,53 @@
+package org.havenford.transport;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
+
+/** The event loop on XNIO's single I/O thread. */
+public final class XnioLoop implements EventLoop {
+    private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
+    private final XnioIoThread thread;
+    private final long origin = System.nanoTime();
+
+    public XnioLoop(XnioIoThread thread) {
+        this.thread = thread;
+    }
+
+    public XnioIoThread thread() {
+        return thread;
+    }
+
+    @Override
+    public Instant now() {
+        return Instant.EPOCH.plusNanos(System.nanoTime() - origin);
+    }
+
+    @Override
+    public Instant timeOfDay() {
+        return Instant.now();
+    }
+
+    @Override
+    public void after(Duration delay, Runnable task) {
+        if (delay.isZero() || delay.isNegative()) {
+            thread.execute(guarded(task));
+        } else {
+            thread.executeAfter(guarded(task), Math.max(1, delay.toMillis()), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** An exception in one task must end neither the loop nor the process. */
+    private static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException | StackOverflowError e) {
+                LOG.error("a task of the event loop failed", e);
+            }
+        };
+    }
+}
