--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -1,6 +1,8 @@
 package org.havenford.coordination;
 
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -13,8 +15,20 @@
 import org.havenford.protocol.MachineType;
 import org.havenford.protocol.Settings;
 
-/** How many machines of each type the unfinished work would fill, were all of it to run at once. */
+/** How many machines of each kind the unfinished work asks for. */
 public final class Demand {
+    /** A type of machine, spot or ordinary. */
+    public record Kind(String type, boolean spot) {
+    }
+
+    /** Tasks of one job that should be able to run at the same time. */
+    record Want(JobSpec spec, double tasks) {
+    }
+
+    /** Machines per kind, and what of the wants no kind could take, in machines. */
+    record Split(Object2DoubleOpenHashMap<Kind> machines, double unmet) {
+    }
+
     private Demand() {
     }
 
@@ -30,58 +44,99 @@
         return (int) Math.floor(n + 1e-9);
     }
 
-    /** Allowed types, the cheapest per task first. */
-    static List<MachineType> preferred(JobSpec s, Iterable<MachineType> types) {
-        List<MachineType> out = new ArrayList<>();
-        for (MachineType t : types) {
-            if (t.zones().stream().anyMatch(z -> s.allows(t, z, false))) {
-                out.add(t);
-            }
-        }
-        out.sort(Comparator.comparingDouble((MachineType t) -> costPerStart(s, t)).thenComparing(MachineType::name));
-        return out;
-    }
-
-    /** Price of one task: its share of the machine while it fetches and runs. */
-    private static double costPerStart(JobSpec s, MachineType t) {
-        double seconds = s.guess().toMillis() / 1e3 + s.imageGb() / Math.max(0.01, t.fetchGbPerS());
-        return t.hourly(s.spot()) / slots(s, t) * seconds;
-    }
-
-    public static Object2DoubleOpenHashMap<String> machines(Ledger ledger, Settings settings, Predicate<MachineType> exhausted,
-            Map<String, Integer> have) {
-        Object2DoubleOpenHashMap<String> out = new Object2DoubleOpenHashMap<>();
-        Map<String, Double> usedCpus = new HashMap<>();
+    /**
+     * What each job could use. With {@code patient}, no more than it needs: a job with a deadline can run its tasks one
+     * after the other while there is time, and one without need not have a machine boot for a task that an earlier one
+     * will have made room for by then.
+     */
+    static List<Want> wants(Ledger ledger, Settings settings, Instant timeOfDay, boolean patient) {
+        List<Want> out = new ArrayList<>();
+        Map<String, Double> used = new HashMap<>();
         for (Job j : ledger.jobs()) {
             if (j.cancelled()) {
                 continue;
             }
             JobSpec s = j.spec();
-            Settings.Team team = settings.teams().get(s.team());
-            double tasks = s.tasks() - j.doneCount();
+            double left = s.tasks() - j.doneCount();
+            double tasks = left;
+            if (patient) {
+                Duration median = Ledger.median(j, false);
+                double run = Math.max(1, (median == null ? s.guess() : median).toMillis() / 1e3);
+                if (j.due() != null) {
+                    double time = Duration.between(timeOfDay, j.due()).toMillis() / 1e3;
+                    tasks = left / Math.max(1, Math.floor(time * 0.8 / run));
+                } else {
+                    tasks = left * run / (run + boot(s, ledger));
+                }
+                tasks = Math.max(tasks, j.claimCount());
+            }
             if (j.errors() >= 3) {
                 tasks = Math.min(tasks, 1);
             }
+            Settings.Team team = settings.teams().get(s.team());
             if (team != null && team.cpusMax() > 0) {
-                double used = usedCpus.getOrDefault(s.team(), 0.0);
-                tasks = Math.min(tasks, Math.max(0, Math.floor((team.cpusMax() - used) / s.cpus() + 1e-9)));
-                usedCpus.put(s.team(), used + tasks * s.cpus());
+                double sofar = used.getOrDefault(s.team(), 0.0);
+                tasks = Math.min(tasks, Math.max(0, (team.cpusMax() - sofar) / s.cpus()));
+                used.put(s.team(), sofar + tasks * s.cpus());
             }
-            for (MachineType t : preferred(s, ledger.types().values())) {
-                if (tasks <= 0) {
-                    break;
+            out.add(new Want(s, tasks));
+        }
+        return out;
+    }
+
+    private static double boot(JobSpec s, Ledger ledger) {
+        return ledger.types().values().stream().filter(s::fits).mapToDouble(t -> t.boot().toMillis() / 1e3).min().orElse(60);
+    }
+
+    private static boolean allowed(JobSpec s, MachineType t, boolean spot) {
+        return t.zones().stream().anyMatch(z -> s.allows(t, z, spot));
+    }
+
+    /** Price of one task: its share of the machine while it fetches and runs. */
+    private static double cost(JobSpec s, MachineType t, boolean spot) {
+        double seconds = s.guess().toMillis() / 1e3 + s.imageGb() / Math.max(0.01, t.fetchGbPerS());
+        return t.hourly(spot) / slots(s, t) * seconds;
+    }
+
+    /**
+     * Spreads the wants over the kinds, cheapest first; the jobs with the least choice go first. A kind that the cloud
+     * has refused counts only with what is there.
+     */
+    static Split machines(List<Want> wants, Map<String, MachineType> types,
+            Predicate<Kind> exhausted, Map<Kind, Integer> have) {
+        Object2DoubleOpenHashMap<Kind> out = new Object2DoubleOpenHashMap<>();
+        double unmet = 0;
+        List<Want> sorted = new ArrayList<>(wants);
+        sorted.sort(Comparator.comparingLong((Want w) -> types.values().stream().filter(t -> allowed(w.spec(), t, false)).count())
+                .thenComparing(w -> w.spec().id()));
+        for (Want w : sorted) {
+            JobSpec s = w.spec();
+            List<Kind> kinds = new ArrayList<>();
+            for (MachineType t : types.values()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    if (allowed(s, t, spot)) {
+                        kinds.add(new Kind(t.name(), spot));
+                    }
                 }
-                int slots = slots(s, t);
+            }
+            kinds.sort(Comparator.comparingDouble((Kind k) -> cost(s, types.get(k.type()), k.spot())));
+            double tasks = w.tasks();
+            for (Kind k : kinds) {
+                int slots = slots(s, types.get(k.type()));
                 double need = tasks / slots;
-                if (exhausted.test(t)) {
-                    // What this type can't give goes to the next one.
-                    double room = Math.max(0, have.getOrDefault(t.name(), 0) - out.getDouble(t.name()));
-                    need = Math.min(need, room);
+                if (exhausted.test(k)) {
+                    need = Math.min(need, Math.max(0, have.getOrDefault(k, 0) - out.getDouble(k)));
                 }
-                out.addTo(t.name(), need);
+                out.addTo(k, need);
                 tasks -= need * slots;
+                if (tasks <= 1e-9) {
+                    break;
+                }
+            }
+            if (tasks > 1e-9 && !kinds.isEmpty()) {
+                unmet += tasks / slots(s, types.get(kinds.get(0).type()));
             }
         }
-        return out;
+        return new Split(out, unmet);
     }
 }
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -78,6 +78,11 @@
             BooleanSupplier outOfTime) {
     }
 
+    /** Seconds of fetching that it is worth to leave a large machine to those tasks that need one. */
+    private static final double LARGER_THAN_NEEDED = 2;
+    /** Likewise to let ordinary machines, which cost more, run empty and be returned. */
+    private static final double ORDINARY = 0.3;
+
     private final Ledger ledger;
     private final Settings settings;
     /** Job at which the last round ran out of time; the next one goes on there. */
@@ -205,6 +210,7 @@
                 zones.merge(m == null ? "?" : m.zone(), 1, Integer::sum);
             }
         }
+        double smallest = ledger.types().values().stream().filter(s::fits).mapToDouble(MachineType::cpus).min().orElse(0);
         String onlyZone = null;
         if (s.together()) {
             onlyZone = zones.isEmpty() ? bestZone(s, rooms, job.pendingCount()) : zones.keySet().iterator().next();
@@ -235,7 +241,8 @@
                     if (m.name().equals(chunk.lateOn(task.index())) || limits.avoided().test(new Placement(task, m.name()))) {
                         continue;
                     }
-                    double score = room.fetchSeconds(s) + (room.cpus - s.cpus()) / room.type.cpus();
+                    double score = room.fetchSeconds(s) + (room.cpus - s.cpus()) / room.type.cpus()
+                            + (room.type.cpus() > smallest ? LARGER_THAN_NEEDED : 0) + (m.spot() ? 0 : ORDINARY);
                     if (score < bestScore) {
                         bestScore = score;
                         best = room;
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -19,6 +19,7 @@
 import org.havenford.bookkeeping.Mirror;
 import org.havenford.bookkeeping.StateStore;
 import org.havenford.bookkeeping.TokenBucket;
+import org.havenford.coordination.Demand.Kind;
 import org.havenford.protocol.CloudMessages;
 import org.havenford.protocol.CloudMessages.Listed;
 import org.havenford.protocol.Json;
@@ -37,6 +38,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
     private static final Duration AVERAGE_OVER = Duration.ofSeconds(120);
+    private static final Duration SCARCE_FOR = Duration.ofSeconds(120);
+    private static final Duration REFUSAL_HOLDS = Duration.ofSeconds(20);
 
     private final EventLoop loop;
     private final HttpCalls calls;
@@ -55,12 +58,13 @@
     private final Map<String, Instant> returned = new HashMap<>();
     private final Map<String, Instant> lastListed = new HashMap<>();
     private final Set<String> failed = new HashSet<>();
-    private final Object2DoubleOpenHashMap<String> average = new Object2DoubleOpenHashMap<>();
+    private final Object2DoubleOpenHashMap<Kind> average = new Object2DoubleOpenHashMap<>();
     private Instant averagedAt;
     private Instant nextTypes = Instant.MIN;
     private Instant nextList = Instant.MIN;
     private Instant nextRent = Instant.MIN;
     private Instant lastFullList = Instant.MIN;
+    private Instant scarceUntil = Instant.MIN;
     private boolean listing;
     private String typesText = "";
     private long counter;
@@ -347,16 +351,15 @@
 
     private boolean refusedLately(String offer, Instant now) {
         Instant at = refused.get(offer);
-        return at != null && now.isBefore(at.plusSeconds(15));
+        return at != null && now.isBefore(at.plus(REFUSAL_HOLDS));
     }
 
-    private boolean exhausted(MachineType t, Instant now) {
-        return t.zones().stream().allMatch(z -> refusedLately(offer(t.name(), z, true), now)
-                && refusedLately(offer(t.name(), z, false), now));
+    private boolean exhausted(Kind k, Instant now) {
+        return ledger.types().get(k.type()).zones().stream().allMatch(z -> refusedLately(offer(k.type(), z, k.spot()), now));
     }
 
     private void size(Instant now) {
-        Map<String, Integer> have = new HashMap<>();
+        Map<Kind, Integer> have = new HashMap<>();
         for (MachineRecord r : ledger.machines()) {
             MachineType t = ledger.types().get(r.type());
             boolean counts = switch (r.condition()) {
@@ -365,57 +368,76 @@
                 default -> false;
             };
             if (counts) {
-                have.merge(r.type(), 1, Integer::sum);
+                have.merge(new Kind(r.type(), r.spot()), 1, Integer::sum);
             }
         }
         for (Booking b : ledger.bookings()) {
-            have.merge(b.type(), b.count(), Integer::sum);
+            have.merge(new Kind(b.type(), b.spot()), b.count(), Integer::sum);
         }
-        Object2DoubleOpenHashMap<String> demand = Demand.machines(ledger, settings, t -> exhausted(t, now), have);
+        // The average follows all that could run at once, so that the next burst finds room; the need of the moment is
+        // counted with patience, so that a burst does not fill the fleet with machines that come up too late for it.
+        Demand.Split all = demand(false, now, have);
+        if (all.unmet() >= 1) {
+            scarceUntil = now.plus(SCARCE_FOR);
+        }
+        // Where the cloud has lately had less than was asked for, machines are kept and fetched without that patience.
+        boolean scarce = now.isBefore(scarceUntil);
+        Object2DoubleOpenHashMap<Kind> full = all.machines();
+        Object2DoubleOpenHashMap<Kind> need = scarce ? full : demand(true, now, have).machines();
         double weight = averagedAt == null ? 1 : Math.min(1, Duration.between(averagedAt, now).toMillis() / (double) AVERAGE_OVER.toMillis());
+        boolean start = averagedAt == null;
         averagedAt = now;
-        Map<String, Integer> wanted = new HashMap<>();
+        Map<Kind, Integer> wanted = new HashMap<>();
         for (MachineType t : ledger.types().values()) {
-            double d = demand.getDouble(t.name());
-            double a = average.getDouble(t.name());
-            a += (d - a) * weight;
-            average.put(t.name(), a);
-            wanted.put(t.name(), (int) Math.ceil(Math.max(d, a * (1 + operator.spareShare())) - 0.05));
+            for (boolean spot : new boolean[] {true, false}) {
+                Kind k = new Kind(t.name(), spot);
+                double a = average.getDouble(k);
+                a = start ? need.getDouble(k) : a + (full.getDouble(k) - a) * weight;
+                average.put(k, a);
+                wanted.put(k, (int) Math.ceil(Math.max(need.getDouble(k), a * (1 + operator.spareShare())) - 0.05));
+            }
         }
         rent(now, wanted, have);
-        trim(now, wanted, have);
+        if (!scarce) {
+            trim(now, wanted, have);
+        }
+    }
+
+    private Demand.Split demand(boolean patient, Instant now, Map<Kind, Integer> have) {
+        return Demand.machines(Demand.wants(ledger, settings, loop.timeOfDay(), patient), ledger.types(),
+                k -> exhausted(k, now), have);
     }
 
-    private void rent(Instant now, Map<String, Integer> wanted, Map<String, Integer> have) {
+    private void rent(Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have) {
         if (now.isBefore(nextRent) || !ledger.bookings().isEmpty()) {
             return;
         }
-        for (MachineType t : ledger.types().values()) {
-            int missing = wanted.get(t.name()) - have.getOrDefault(t.name(), 0);
+        List<Kind> kinds = new ArrayList<>(wanted.keySet());
+        kinds.sort(Comparator.comparing(Kind::spot).reversed().thenComparing(Kind::type));
+        for (Kind k : kinds) {
+            int missing = wanted.get(k) - have.getOrDefault(k, 0);
             if (missing <= 0) {
                 continue;
             }
-            // Spot first, and the zone with the fewest machines first.
-            for (boolean spot : new boolean[] {true, false}) {
-                List<String> zones = new ArrayList<>(t.zones());
-                zones.sort(Comparator.comparingLong((String z) -> ledger.machines().stream()
-                        .filter(m -> m.zone().equals(z) && m.type().equals(t.name())).count()).thenComparing(z -> z));
-                for (String z : zones) {
-                    if (refusedLately(offer(t.name(), z, spot), now)) {
-                        continue;
-                    }
-                    int count = Math.min(Math.min(missing, settings.txnOps() - 2), 8);
-                    String name = "r-" + membership.view().epoch() + "-" + membership.view().members().get(settings.node()) + "-" + ++counter;
-                    Booking b = new Booking(name, t.name(), z, spot, count, loop.timeOfDay());
-                    nextRent = now.plusMillis(500);
-                    write(new StateStore.Txn().guard(Keys.booking(name), 0).set(Keys.booking(name), b.toJson()), () -> { });
-                    return;
+            // The zone with the fewest machines first.
+            List<String> zones = new ArrayList<>(ledger.types().get(k.type()).zones());
+            zones.sort(Comparator.comparingLong((String z) -> ledger.machines().stream()
+                    .filter(m -> m.zone().equals(z) && m.type().equals(k.type())).count()).thenComparing(z -> z));
+            for (String z : zones) {
+                if (refusedLately(offer(k.type(), z, k.spot()), now)) {
+                    continue;
                 }
+                int count = Math.min(missing, settings.txnOps() - 2);
+                String name = "r-" + membership.view().epoch() + "-" + membership.view().members().get(settings.node()) + "-" + ++counter;
+                Booking b = new Booking(name, k.type(), z, k.spot(), count, loop.timeOfDay());
+                nextRent = now.plusMillis(500);
+                write(new StateStore.Txn().guard(Keys.booking(name), 0).set(Keys.booking(name), b.toJson()), () -> { });
+                return;
             }
         }
     }
 
-    private void trim(Instant now, Map<String, Integer> wanted, Map<String, Integer> have) {
+    private void trim(Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have) {
         List<MachineRecord> idle = new ArrayList<>();
         for (MachineRecord r : ledger.machines()) {
             if (r.condition() != Condition.UP || !ledger.claimsOn(r.name()).isEmpty()) {
@@ -425,11 +447,15 @@
             }
         }
         idleSince.keySet().removeIf(n -> ledger.machine(n) == null);
-        // Dear machines go first.
-        idle.sort(Comparator.comparing(MachineRecord::spot).thenComparing(MachineRecord::name));
+        // Judged by type: what spot machines can't give just now is not to be returned because they might. Ordinary
+        // machines go first, then those that have been idle longest.
+        idle.sort(Comparator.comparing(MachineRecord::spot).thenComparing(r -> idleSince.get(r.name()))
+                .thenComparing(MachineRecord::name));
         for (MachineRecord r : idle) {
-            if (have.getOrDefault(r.type(), 0) > wanted.getOrDefault(r.type(), 0) && !inFlight.contains(r.name())) {
-                have.merge(r.type(), -1, Integer::sum);
+            Kind s = new Kind(r.type(), true);
+            Kind o = new Kind(r.type(), false);
+            int surplus = have.getOrDefault(s, 0) + have.getOrDefault(o, 0) - wanted.getOrDefault(s, 0) - wanted.getOrDefault(o, 0);
+            if (surplus > 0 && !inFlight.contains(r.name())) {
                 StateStore.Txn txn = new StateStore.Txn();
                 markReturning(txn, r);
                 LOG.info("returning {}: idle", r.name());
