--- /dev/null
+++ b/src/test/java/org/havenford/world/Cloud.java
@@ -0,0 +1,139 @@
+package org.havenford.world;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.havenford.transport.HttpCalls.Reply;
+
+/** A stand-in for the cloud: one small and one large type in each of three zones. */
+final class Cloud implements World.Server {
+    static final Map<String, double[]> TYPES = Map.of("small", new double[] {4, 32}, "large", new double[] {16, 64});
+    private static final int PER_OFFER = 3;
+
+    private final World world;
+    private final Map<String, List<String>> bookings = new HashMap<>();
+    private final Map<String, JsonObject> listed = new LinkedHashMap<>();
+    final Set<String> gone = new HashSet<>();
+    private int created;
+    boolean outage;
+    /** Machines rented from now on never come up. */
+    boolean bootFails;
+
+    Cloud(World world) {
+        this.world = world;
+    }
+
+    Worker boot(String type, String zone, boolean spot, Duration in) {
+        String name = String.format("host-%06d", created++);
+        JsonObject o = new JsonObject();
+        o.addProperty("nameId", name);
+        o.addProperty("endpoint", name + ":9000");
+        o.addProperty("rig", type);
+        o.addProperty("hall", zone);
+        o.addProperty("borrowed", spot);
+        o.addProperty("status", "starting");
+        o.addProperty("heldS", 60.0);
+        world.after(Duration.ofSeconds(4), () -> {
+            if (!gone.contains(name)) {
+                listed.put(name, o);
+            }
+        });
+        Worker w = new Worker(world, name, type, zone, spot);
+        world.workers.put(name, w);
+        if (!bootFails) {
+            world.after(in, () -> {
+                if (!gone.contains(name)) {
+                    w.start();
+                }
+            });
+        }
+        return w;
+    }
+
+    /** The machine is gone for good; the list shows it a while longer. */
+    void take(String name) {
+        gone.add(name);
+        world.workers.get(name).vanish();
+        world.after(Duration.ofSeconds(4), () -> listed.remove(name));
+    }
+
+    @Override
+    public void request(String method, String path, String body, Consumer<Reply> answer) {
+        if (outage) {
+            answer.accept(new Reply(503, "{\"error\":\"trouble\"}"));
+        } else if (path.equals("/machine_types")) {
+            JsonArray rigs = new JsonArray();
+            TYPES.forEach((name, size) -> {
+                JsonObject o = new JsonObject();
+                o.addProperty("name", name);
+                o.addProperty("vcpus", size[0]);
+                o.addProperty("cards", 0);
+                o.addProperty("memGb", size[1]);
+                o.addProperty("localGb", 40);
+                o.addProperty("fetchGbPerS", 0.5);
+                o.addProperty("hourly", size[0] * 0.06);
+                o.addProperty("spotPrice", size[0] * 0.02);
+                o.addProperty("bootS", 20);
+                JsonArray halls = new JsonArray();
+                List.of("a", "b", "c").forEach(halls::add);
+                o.add("halls", halls);
+                rigs.add(o);
+            });
+            JsonObject o = new JsonObject();
+            o.add("rigs", rigs);
+            answer.accept(new Reply(200, o.toString()));
+        } else if (path.equals("/machines")) {
+            answer.accept(rent(JsonParser.parseString(body).getAsJsonObject()));
+        } else if (path.equals("/machines/return")) {
+            for (JsonElement e : JsonParser.parseString(body).getAsJsonObject().getAsJsonArray("boxes")) {
+                if (world.workers.containsKey(e.getAsString())) {
+                    take(e.getAsString());
+                }
+            }
+            answer.accept(new Reply(200, "{}"));
+        } else {
+            JsonArray boxes = new JsonArray();
+            listed.values().forEach(boxes::add);
+            JsonObject o = new JsonObject();
+            o.add("boxes", boxes);
+            o.addProperty("truncated", false);
+            answer.accept(new Reply(200, o.toString()));
+        }
+    }
+
+    private Reply rent(JsonObject o) {
+        String booking = o.get("booking").getAsString();
+        List<String> names = bookings.get(booking);
+        if (names == null) {
+            String type = o.get("rig").getAsString();
+            String zone = o.get("hall").getAsString();
+            boolean spot = o.get("borrowed").getAsBoolean();
+            long there = world.workers.values().stream().filter(w -> !gone.contains(w.name) && w.type.equals(type)
+                    && w.zone.equals(zone) && w.spot == spot).count();
+            int n = (int) Math.min(o.get("count").getAsInt(), PER_OFFER - there);
+            if (n <= 0) {
+                return new Reply(503, "{\"error\":\"no capacity\"}");
+            }
+            names = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                names.add(boot(type, zone, spot, Duration.ofMillis(15_000 + world.random.nextInt(10_000))).name);
+            }
+            bookings.put(booking, names);
+        }
+        JsonArray a = new JsonArray();
+        names.forEach(a::add);
+        JsonObject out = new JsonObject();
+        out.add("boxes", a);
+        return new Reply(200, out.toString());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/havenford/world/Store.java
@@ -0,0 +1,238 @@
+package org.havenford.world;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.havenford.transport.HttpCalls.Reply;
+
+/** A stand-in for the state service. */
+final class Store implements World.Server {
+    private record Value(JsonElement v, long stamp, long permit) {
+    }
+
+    private record Change(long stamp, String key, JsonElement v) {
+    }
+
+    private record Watcher(String prefix, long since, Consumer<Reply> answer) {
+    }
+
+    private static final class Lease {
+        Duration life;
+        Instant until;
+    }
+
+    private final World world;
+    final TreeMap<String, Value> values = new TreeMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private long edition = 1;
+    private long lastLease;
+    boolean outage;
+    /** Transactions that are answered with nothing, and applied this much later. */
+    Duration lateTxn;
+    int lateTxns;
+
+    Store(World world) {
+        this.world = world;
+    }
+
+    JsonElement value(String key) {
+        Value v = values.get(key);
+        return v == null ? null : v.v;
+    }
+
+    void endOutage() {
+        outage = false;
+        leases.values().forEach(l -> l.until = world.now.plus(l.life));
+        leases.keySet().forEach(this::expireLater);
+        notifyWatchers();
+    }
+
+    private void expireLater(long id) {
+        Lease l = leases.get(id);
+        world.after(Duration.between(world.now, l.until).plusMillis(20), () -> {
+            if (leases.get(id) == l && !outage && !world.now.isBefore(l.until)) {
+                leases.remove(id);
+                List<String> gone = values.entrySet().stream().filter(e -> e.getValue().permit == id).map(Map.Entry::getKey).toList();
+                if (!gone.isEmpty()) {
+                    edition++;
+                    gone.forEach(k -> {
+                        values.remove(k);
+                        changes.add(new Change(edition, k, null));
+                    });
+                    notifyWatchers();
+                }
+            }
+        });
+    }
+
+    @Override
+    public void request(String method, String path, String body, Consumer<Reply> answer) {
+        if (path.startsWith("/changes")) {
+            Map<String, String> q = query(path);
+            Watcher w = new Watcher(q.get("prefix"), Long.parseLong(q.get("since")), answer);
+            long block = Long.parseLong(q.getOrDefault("blockMs", "0"));
+            if (!tell(w, block == 0 && !outage)) {
+                watchers.add(w);
+                world.after(Duration.ofMillis(Math.max(1, block)), () -> {
+                    if (!outage && watchers.remove(w)) {
+                        tell(w, true);
+                    }
+                });
+            }
+            return;
+        }
+        if (outage) {
+            answer.accept(new Reply(503, "{\"error\":\"trouble\"}"));
+        } else if (path.equals("/multi")) {
+            if (lateTxns > 0) {
+                // Given up on by its sender, applied all the same.
+                lateTxns--;
+                world.after(lateTxn, () -> txn(body));
+            } else {
+                answer.accept(txn(body));
+            }
+        } else if (path.equals("/holds")) {
+            Lease l = new Lease();
+            l.life = Duration.ofMillis(JsonParser.parseString(body).getAsJsonObject().get("lifeMs").getAsLong());
+            l.until = world.now.plus(l.life);
+            leases.put(++lastLease, l);
+            expireLater(lastLease);
+            answer.accept(new Reply(200, "{\"permit\":" + lastLease + "}"));
+        } else if (path.endsWith("/touch")) {
+            long id = Long.parseLong(path.split("/")[2]);
+            Lease l = leases.get(id);
+            if (l == null) {
+                answer.accept(new Reply(404, "{}"));
+            } else {
+                l.until = world.now.plus(l.life);
+                expireLater(id);
+                answer.accept(new Reply(200, "{}"));
+            }
+        } else if (path.startsWith("/store/")) {
+            String key = path.substring("/store/".length());
+            Value v = values.get(key);
+            answer.accept(v == null ? new Reply(404, "{\"edition\":" + edition + "}") : new Reply(200, item(key, v).toString()));
+        } else {
+            Map<String, String> q = query(path);
+            JsonArray items = new JsonArray();
+            boolean more = false;
+            for (Map.Entry<String, Value> e : values.tailMap(q.getOrDefault("since", ""), false).entrySet()) {
+                if (e.getKey().startsWith(q.get("prefix"))) {
+                    if (items.size() >= 7) {
+                        more = true;
+                        break;
+                    }
+                    items.add(item(e.getKey(), e.getValue()));
+                }
+            }
+            JsonObject o = new JsonObject();
+            o.add("items", items);
+            o.addProperty("truncated", more);
+            o.addProperty("edition", edition);
+            answer.accept(new Reply(200, o.toString()));
+        }
+    }
+
+    private static JsonObject item(String key, Value v) {
+        JsonObject o = new JsonObject();
+        o.addProperty("k", key);
+        o.add("v", v.v);
+        o.addProperty("stamp", v.stamp);
+        return o;
+    }
+
+    private static Map<String, String> query(String path) {
+        Map<String, String> q = new HashMap<>();
+        for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+            String[] kv = part.split("=", 2);
+            q.put(kv[0], kv[1]);
+        }
+        return q;
+    }
+
+    private Reply txn(String body) {
+        JsonObject o = JsonParser.parseString(body).getAsJsonObject();
+        JsonArray writes = o.getAsJsonArray("writes");
+        if (writes.size() > 12 || o.getAsJsonArray("guards").size() > 48 || body.length() > 65536) {
+            throw new AssertionError("a transaction beyond the limits: " + body);
+        }
+        Set<String> failed = new HashSet<>();
+        for (JsonElement e : o.getAsJsonArray("guards")) {
+            String k = e.getAsJsonObject().get("k").getAsString();
+            Value v = values.get(k);
+            if ((v == null ? 0 : v.stamp) != e.getAsJsonObject().get("stamp").getAsLong()) {
+                failed.add(k);
+            }
+        }
+        for (JsonElement e : writes) {
+            JsonObject w = e.getAsJsonObject();
+            if (w.has("permit") && !leases.containsKey(w.get("permit").getAsLong())) {
+                return new Reply(400, "{\"error\":\"no such lease\"}");
+            }
+        }
+        if (!failed.isEmpty()) {
+            return new Reply(409, "{\"failed\":[],\"edition\":" + edition + "}");
+        }
+        if (writes.size() > 0) {
+            edition++;
+        }
+        for (JsonElement e : writes) {
+            JsonObject w = e.getAsJsonObject();
+            if (w.has("set")) {
+                if (w.get("v").toString().length() > world.template.valueBytes()) {
+                    throw new AssertionError("a value beyond the limit: " + w);
+                }
+                values.put(w.get("set").getAsString(), new Value(w.get("v"), edition, w.has("permit") ? w.get("permit").getAsLong() : 0));
+                changes.add(new Change(edition, w.get("set").getAsString(), w.get("v")));
+            } else {
+                values.remove(w.get("delete").getAsString());
+                changes.add(new Change(edition, w.get("delete").getAsString(), null));
+            }
+        }
+        notifyWatchers();
+        return new Reply(200, "{\"edition\":" + edition + "}");
+    }
+
+    private void notifyWatchers() {
+        watchers.removeIf(w -> tell(w, false));
+    }
+
+    private boolean tell(Watcher w, boolean even) {
+        if (outage) {
+            return false;
+        }
+        JsonArray log = new JsonArray();
+        for (Change c : changes) {
+            if (c.stamp > w.since && c.key.startsWith(w.prefix)) {
+                JsonObject o = new JsonObject();
+                o.addProperty(c.v == null ? "delete" : "set", c.key);
+                if (c.v != null) {
+                    o.add("v", c.v);
+                }
+                o.addProperty("stamp", c.stamp);
+                log.add(o);
+            }
+        }
+        if (log.isEmpty() && !even) {
+            return false;
+        }
+        JsonObject o = new JsonObject();
+        o.addProperty("edition", edition);
+        o.add("log", log);
+        w.answer.accept(new Reply(200, o.toString()));
+        return true;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -0,0 +1,140 @@
+package org.havenford.world;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.Settings;
+
+/** A kept trace: one line an event, played in a {@link World}. See src/test/resources/traces/README.md. */
+final class Trace {
+    private static final String ZONES = "abc";
+
+    private Trace() {
+    }
+
+    static Settings settings(int node, String teams) {
+        StringBuilder others = new StringBuilder();
+        for (int i = 0; i < 3; i++) {
+            if (i != node) {
+                others.append(others.isEmpty() ? "" : ",").append("{\"node_name\":\"node-").append(i)
+                        .append("\",\"location\":\"").append(ZONES.charAt(i)).append("\",\"peer_addr\":\"node-").append(i).append(":2\"}");
+            }
+        }
+        try {
+            return Settings.parse("{\"node_name\":\"node-" + node + "\",\"location\":\"" + ZONES.charAt(node) + "\",\"bind\":\"node-"
+                    + node + ":1\",\"cluster_listen\":\"node-" + node + ":2\",\"others\":[" + others
+                    + "],\"endpoints\":{\"cloud\":\"cloud:1\",\"state\":\"state:1\"},\"deployment\":{\"teams\":[" + teams
+                    + "],\"workers\":{\"report_s\":3,\"lease_s\":20,\"cancel_s\":44},\"state\":{\"rps\":300,\"write_rps\":150,"
+                    + "\"value_kb\":8,\"txn_ops\":12},\"cloud\":{\"rps\":5,\"list_lag_s\":4}}}");
+        } catch (Json.BadMessage e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Plays the trace and returns what it found wrong. */
+    static List<String> play(List<String> lines, World[] out) {
+        long seed = 1;
+        List<String> teams = new ArrayList<>();
+        List<String[]> events = new ArrayList<>();
+        List<String[]> expectations = new ArrayList<>();
+        double until = 120;
+        for (String raw : lines) {
+            String line = raw.replaceFirst("#.*", "").strip();
+            if (line.isEmpty()) {
+                continue;
+            }
+            String[] w = line.split("\\s+");
+            switch (w[0]) {
+                case "seed" -> seed = Long.parseLong(w[1]);
+                case "team" -> teams.add("{\"name\":\"" + w[1] + "\",\"cpus\":" + w[2] + ",\"cpus_max\":" + w[3] + "}");
+                case "at", "machine" -> events.add(w);
+                case "until" -> until = Double.parseDouble(w[1]);
+                case "expect" -> expectations.add(w);
+                default -> throw new IllegalArgumentException(line);
+            }
+        }
+        String teamText = String.join(",", teams);
+        World world = new World(seed, settings(0, teamText));
+        out[0] = world;
+        for (int i = 0; i < 3; i++) {
+            world.addNode(settings(i, teamText));
+        }
+        for (String[] e : events) {
+            if (e[0].equals("machine")) {
+                world.cloud.boot(e[1], e[2], e[3].equals("spot"), Duration.ofMillis(100));
+            } else {
+                world.at(Double.parseDouble(e[1]), () -> event(world, e));
+            }
+        }
+        world.runUntil(until);
+        List<String> wrong = new ArrayList<>(world.rules.broken);
+        for (String[] e : expectations) {
+            String text = String.join(" ", List.of(e).subList(2, e.length));
+            boolean holds = switch (e[1]) {
+                case "done" -> world.users.jobs.get(e[2]).doneTold != null;
+                case "cancelled" -> world.users.jobs.get(e[2]).cancelTold != null;
+                case "log" -> world.log.stream().anyMatch(l -> l.contains(text));
+                case "no-log" -> world.log.stream().noneMatch(l -> l.contains(text));
+                case "starts" -> world.rules.starts == Integer.parseInt(e[2]);
+                case "broken" -> world.rules.broken.stream().anyMatch(b -> b.contains(" " + e[2] + ": "));
+                default -> throw new IllegalArgumentException(String.join(" ", e));
+            };
+            if (!holds) {
+                wrong.add("expected: " + String.join(" ", List.of(e).subList(1, e.length)));
+            }
+        }
+        return wrong;
+    }
+
+    private static String end(World w, String name) {
+        if (w.nodes.containsKey(name)) {
+            return w.nodes.get(name).settings.bind();
+        }
+        return name.startsWith("host-") ? name + ":9000" : name.equals("users") ? name : name + ":1";
+    }
+
+    static void event(World w, String[] e) {
+        String a = e.length > 3 ? e[3] : "";
+        if (!e[2].equals("submit")) {
+            w.note(String.join(" ", List.of(e).subList(2, e.length)));
+        }
+        switch (e[2]) {
+            case "submit" -> w.users.submit(a, e[4], Integer.parseInt(e[5]), Double.parseDouble(e[6]),
+                    Double.parseDouble(e[7]), List.of(e).subList(8, e.length));
+            case "cancel" -> w.users.cancel(a);
+            case "crash" -> w.nodes.get(a).crash();
+            case "start" -> w.nodes.get(a).start();
+            case "cut" -> w.cut(end(w, a), end(w, e[4]), World.Cut.valueOf(e[5].toUpperCase(java.util.Locale.ROOT)));
+            case "heal" -> w.heal(end(w, a), end(w, e[4]));
+            case "outage" -> {
+                if (a.equals("on")) {
+                    w.store.outage = true;
+                } else {
+                    w.store.endOutage();
+                }
+            }
+            case "cloud-outage" -> w.cloud.outage = a.equals("on");
+            case "hang" -> w.workers.get(a).hang(true);
+            case "wake" -> w.workers.get(a).hang(false);
+            case "take" -> w.cloud.take(a);
+            case "faulty" -> w.workers.get(a).faulty = true;
+            case "slow-fetch" -> w.workers.get(a).slowFetch = Double.parseDouble(e[4]);
+            case "notice" -> w.workers.get(a).notice = Double.parseDouble(e[4]);
+            case "late-txns" -> {
+                w.store.lateTxns = Integer.parseInt(a);
+                w.store.lateTxn = Duration.ofMillis((long) (Double.parseDouble(e[4]) * 1000));
+            }
+            case "forge-start" -> {
+                // Not a trouble but a broken controller: shows that the checker sees what it should.
+                Worker.Task t = new Worker.Task();
+                t.shot = e[4];
+                t.take = 99;
+                t.status = "running";
+                w.workers.get(a).tasks.put(e[4] + "#99", t);
+                w.rules.started(w.workers.get(a), t);
+            }
+            default -> throw new IllegalArgumentException(e[2]);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/havenford/world/TraceTest.java
@@ -0,0 +1,121 @@
+package org.havenford.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/** Plays the kept traces, and some seeded runs with random troubles. */
+class TraceTest {
+    private static final Path TRACES = Path.of("src/test/resources/traces");
+
+    @TestFactory
+    Stream<DynamicTest> keptTraces() throws IOException {
+        List<Path> files = new ArrayList<>();
+        try (Stream<Path> list = Files.list(TRACES)) {
+            list.filter(p -> p.toString().endsWith(".trace")).sorted().forEach(files::add);
+        }
+        assertFalse(files.isEmpty());
+        return files.stream().map(f -> DynamicTest.dynamicTest(f.getFileName().toString(), () -> {
+            World[] world = new World[1];
+            List<String> wrong = Trace.play(Files.readAllLines(f), world);
+            assertEquals(List.of(), wrong, () -> String.join("\n", world[0].log));
+        }));
+    }
+
+    /** The checker would be worth nothing if it could not fail. */
+    @Test
+    void theCheckerSeesBrokenRules() {
+        World[] world = new World[1];
+        List<String> wrong = Trace.play(List.of("team red 0 8", "machine large a ordinary", "machine large b ordinary",
+                "at 3 submit j-1 red 1 8 30", "at 15 forge-start host-000000 j-1/0", "at 15 forge-start host-000001 j-1/0",
+                "until 20"), world);
+        assertTrue(wrong.stream().anyMatch(w -> w.contains("ran_twice")), wrong::toString);
+        assertTrue(wrong.stream().anyMatch(w -> w.contains("quota")), wrong::toString);
+    }
+
+    @TestFactory
+    Stream<DynamicTest> randomTroubles() {
+        int seeds = Integer.getInteger("havenford.seeds", 12);
+        long first = Long.getLong("havenford.firstSeed", 1);
+        return Stream.iterate(first, s -> s + 1).limit(seeds).map(seed -> DynamicTest.dynamicTest("seed " + seed, () -> {
+            List<String> lines = troubles(seed);
+            World[] world = new World[1];
+            List<String> wrong = Trace.play(lines, world);
+            assertEquals(List.of(), wrong, () -> String.join("\n", lines) + "\n--\n" + String.join("\n", world[0].log));
+        }));
+    }
+
+    /** A day drawn from a seed, as a trace; a seed that fails is kept as one. */
+    private static List<String> troubles(long seed) {
+        SplittableRandom r = new SplittableRandom(seed);
+        List<String> out = new ArrayList<>(List.of("seed " + seed, "team red 16 40", "team blue 0 0",
+                "machine large a ordinary", "machine small b ordinary", "machine large c spot", "machine small a spot"));
+        for (int i = 0; i < 14; i++) {
+            String id = "j-" + (100 + i);
+            int at = 3 + r.nextInt(90);
+            out.add("at " + at + " submit " + id + " " + (r.nextBoolean() ? "red" : "blue") + " " + (1 + r.nextInt(8)) + " "
+                    + (1 + r.nextInt(4)) + " " + (5 + r.nextInt(20)) + (r.nextInt(4) == 0 ? " apart" : "")
+                    + (r.nextInt(4) == 0 ? " ordinary" : ""));
+            if (r.nextInt(4) == 0) {
+                out.add("at " + (at + 3 + r.nextInt(20)) + " cancel " + id);
+            } else {
+                out.add("expect done " + id);
+            }
+        }
+        int at = 10;
+        for (int i = 0; i < 6; i++) {
+            at += 4 + r.nextInt(16);
+            String node = "node-" + r.nextInt(3);
+            String host = "host-00000" + r.nextInt(4);
+            int length = 2 + r.nextInt(28);
+            String how = r.nextBoolean() ? "hold" : "drop";
+            switch (r.nextInt(8)) {
+                case 0 -> {
+                    out.add("at " + at + " crash " + node);
+                    out.add("at " + at + ".3 start " + node);
+                }
+                case 1 -> {
+                    for (int n = 0; n < 3; n++) {
+                        out.add("at " + at + "." + n + " crash node-" + n);
+                        out.add("at " + (at + 3) + "." + r.nextInt(10) + " start node-" + n);
+                    }
+                }
+                case 2 -> {
+                    out.add("at " + at + " cut " + node + " state " + how);
+                    out.add("at " + (at + length) + " heal " + node + " state");
+                }
+                case 3 -> {
+                    for (int h = 0; h < 4; h++) {
+                        out.add("at " + at + " cut " + node + " host-00000" + h + " " + how);
+                        out.add("at " + (at + length) + " heal " + node + " host-00000" + h);
+                    }
+                }
+                case 4 -> {
+                    out.add("at " + at + " outage on");
+                    out.add("at " + (at + Math.min(12, length)) + " outage off");
+                }
+                case 5 -> {
+                    out.add("at " + at + " hang " + host);
+                    out.add("at " + (at + length) + " wake " + host);
+                }
+                case 6 -> out.add("at " + at + " late-txns " + (1 + r.nextInt(4)) + " " + length);
+                default -> {
+                    out.add("at " + at + " take " + host);
+                }
+            }
+        }
+        out.add("until 420");
+        return out;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/havenford/world/Users.java
@@ -0,0 +1,165 @@
+package org.havenford.world;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.havenford.transport.HttpCalls.Reply;
+
+/** Users behind a load balancer that tries the nodes at random. */
+final class Users {
+    static final class Job {
+        String id;
+        String team;
+        double cpus;
+        int tasks;
+        double runS;
+        String image;
+        boolean spot;
+        boolean apart;
+        String zone;
+        boolean accepted;
+        Instant cancelTold;
+        String last = "";
+        Instant doneTold;
+
+        Duration run(SplittableRandom random) {
+            return Duration.ofMillis((long) (runS * 1000 * (0.8 + 0.4 * random.nextDouble())));
+        }
+    }
+
+    private final World world;
+    final Map<String, Job> jobs = new LinkedHashMap<>();
+    /** Tasks whose result is kept. */
+    final Set<String> finished = new HashSet<>();
+
+    Users(World world) {
+        this.world = world;
+    }
+
+    Job submit(String id, String team, int tasks, double cpus, double runS, List<String> options) {
+        Job j = new Job();
+        j.id = id;
+        j.team = team;
+        j.tasks = tasks;
+        j.cpus = cpus;
+        j.runS = runS;
+        j.image = "img-" + (Integer.parseInt(id.substring(2)) % 3);
+        j.spot = true;
+        for (String o : options) {
+            j.apart |= o.equals("apart");
+            j.spot &= !o.equals("ordinary");
+            j.zone = o.startsWith("zone=") ? o.substring(5) : j.zone;
+        }
+        jobs.put(id, j);
+        send(j);
+        return j;
+    }
+
+    static JsonObject body(Job j) {
+        JsonObject o = new JsonObject();
+        o.addProperty("nameId", j.id);
+        o.addProperty("lineup", "class");
+        o.addProperty("crew", j.team);
+        o.addProperty("shape", "batch");
+        o.addProperty("urgency", "normal");
+        o.addProperty("shots", j.tasks);
+        o.addProperty("vcpus", j.cpus);
+        o.addProperty("cards", 0.0);
+        o.addProperty("memGb", 1.0);
+        o.addProperty("reel", j.image);
+        o.addProperty("imageGb", 1.0);
+        o.addProperty("together", false);
+        o.addProperty("apart", j.apart);
+        o.addProperty("borrowed", j.spot);
+        if (j.zone != null) {
+            o.addProperty("hall", j.zone);
+        }
+        o.addProperty("guessS", j.runS);
+        o.addProperty("keyframeS", 0.0);
+        o.addProperty("flushS", 0.0);
+        return o;
+    }
+
+    private String someNode() {
+        List<World.Node> all = List.copyOf(world.nodes.values());
+        return all.get(world.random.nextInt(all.size())).settings.bind();
+    }
+
+    private void send(Job j) {
+        world.call("users", someNode(), "POST", "/submissions", body(j).toString(), Duration.ofSeconds(5), r -> {
+            if (r.status() == 201 || r.status() == 200) {
+                if (!j.accepted) {
+                    world.note(j.id + " accepted");
+                }
+                j.accepted = true;
+                poll(j);
+            } else if (r.status() == 400 || r.status() == 422) {
+                world.rules.broken("forgotten", j.id + " refused with " + r.status());
+            } else {
+                world.after(Duration.ofSeconds(1), () -> send(j));
+            }
+        });
+    }
+
+    private void poll(Job j) {
+        world.after(Duration.ofMillis(4000 + world.random.nextInt(2000)), () ->
+                world.call("users", someNode(), "GET", "/submissions/" + j.id, null, Duration.ofSeconds(2), r -> {
+                    told(j, r);
+                    if (j.doneTold == null && j.cancelTold == null || world.random.nextInt(3) > 0) {
+                        poll(j);
+                    }
+                }));
+    }
+
+    private void told(Job j, Reply r) {
+        if (r.status() == 404) {
+            world.rules.broken("forgotten", j.id + " is answered 404");
+        }
+        if (r.status() != 200) {
+            return;
+        }
+        String status = JsonParser.parseString(r.body()).getAsJsonObject().get("status").getAsString();
+        boolean was = j.last.equals("done") || j.last.equals("withdrawn");
+        if (was && !status.equals(j.last)) {
+            world.rules.broken("went_back", j.id + " was " + j.last + " and is " + status);
+        }
+        if (status.equals("withdrawn") && j.cancelTold == null) {
+            world.rules.broken("went_back", j.id + " is cancelled by nobody");
+        }
+        if (status.equals("done") && j.doneTold == null) {
+            j.doneTold = world.now;
+            for (int i = 0; i < j.tasks; i++) {
+                if (!finished.contains(j.id + "/" + i)) {
+                    world.rules.broken("not_done", j.id + "/" + i + " is not done");
+                }
+            }
+            world.note(j.id + " done");
+        }
+        if (!j.last.equals("withdrawn")) {
+            j.last = status;
+        }
+    }
+
+    void cancel(String id) {
+        Job j = jobs.get(id);
+        world.call("users", someNode(), "POST", "/submissions/" + id + "/abort", null, Duration.ofSeconds(5), r -> {
+            if (r.status() == 200) {
+                String status = JsonParser.parseString(r.body()).getAsJsonObject().get("status").getAsString();
+                world.note(id + " cancel answered " + status);
+                if (status.equals("withdrawn")) {
+                    j.cancelTold = world.now;
+                    j.last = "withdrawn";
+                }
+            } else {
+                world.after(Duration.ofSeconds(1), () -> cancel(id));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/havenford/world/Worker.java
@@ -0,0 +1,303 @@
+package org.havenford.world;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.havenford.transport.HttpCalls;
+import org.havenford.transport.HttpCalls.Reply;
+
+/** A stand-in for a worker: reports, obeys commands, keeps its lease, as the protocol says. */
+final class Worker implements World.Server {
+    static final class Task {
+        String shot;
+        long take;
+        String status;
+        String cause;
+        long generation;
+
+        /** The task has its image and has not ended. */
+        boolean on() {
+            return status.equals("running") || status.equals("flushing");
+        }
+    }
+
+    final World world;
+    final String name;
+    final String type;
+    final String zone;
+    final boolean spot;
+    long session = 1;
+    private long seq;
+    private long token;
+    final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Set<String> images = new HashSet<>();
+    private Instant lease;
+    private boolean up;
+    boolean hung;
+    Double notice;
+    /** Every task that starts here fails. */
+    boolean faulty;
+    /** Tasks started here fetch this many times as long. */
+    double slowFetch = 1;
+    private final List<Runnable> whileHung = new ArrayList<>();
+    private int target;
+    private boolean inFlight;
+    private boolean changed;
+    private Instant lastReport = Instant.EPOCH;
+    private long generation;
+
+    Worker(World world, String name, String type, String zone, boolean spot) {
+        this.world = world;
+        this.name = name;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+    }
+
+    private String address() {
+        return name + ":9000";
+    }
+
+    void start() {
+        up = true;
+        lease = world.now;
+        target = world.random.nextInt(world.nodes.size());
+        world.servers.put(address(), this);
+        tick();
+        checkLease();
+    }
+
+    void vanish() {
+        up = false;
+        world.servers.remove(address());
+        tasks.clear();
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    void hang(boolean on) {
+        hung = on;
+        if (!on) {
+            expireIfDue();
+            List.copyOf(whileHung).forEach(Runnable::run);
+            whileHung.clear();
+        }
+    }
+
+    /** What a hanging machine does is done when it goes on. */
+    private void act(Runnable r) {
+        if (!up) {
+            return;
+        }
+        if (hung) {
+            whileHung.add(r);
+        } else {
+            r.run();
+        }
+    }
+
+    private void checkLease() {
+        world.after(Duration.ofMillis(200), () -> {
+            if (up) {
+                if (!hung) {
+                    expireIfDue();
+                }
+                checkLease();
+            }
+        });
+    }
+
+    /** A hanging machine executes nothing, and what it held when its lease ran out is killed before it goes on. */
+    boolean leaseOver() {
+        return world.now.isAfter(lease.plus(world.template.workerLease()));
+    }
+
+    private void expireIfDue() {
+        if (leaseOver()) {
+            tasks.clear();
+            session++;
+            lease = world.now;
+            changed = true;
+            world.note(name + " lease over, session " + session);
+        }
+    }
+
+    private void tick() {
+        if (!up) {
+            return;
+        }
+        world.after(Duration.ofMillis(500), this::tick);
+        Duration since = Duration.between(lastReport, world.now);
+        if (!hung && !inFlight && (changed || since.compareTo(world.template.report()) >= 0)) {
+            report();
+        }
+    }
+
+    private void report() {
+        inFlight = true;
+        changed = false;
+        lastReport = world.now;
+        Instant sent = world.now;
+        long sentSession = session;
+        String node = List.copyOf(world.nodes.keySet()).get(target);
+        world.call(address(), world.nodes.get(node).settings.bind(), "POST", "/checkin", reportBody(), Duration.ofSeconds(4),
+                r -> act(() -> answered(r, sent, sentSession)));
+    }
+
+    private void answered(Reply r, Instant sent, long sentSession) {
+        inFlight = false;
+        if (r.status() == 200) {
+            JsonObject o = JsonParser.parseString(r.body()).getAsJsonObject();
+            if (sentSession != session || o.get("baton").getAsLong() < token
+                    || Duration.between(sent, world.now).compareTo(Duration.ofSeconds(4)) > 0) {
+                return;
+            }
+            lease = sent;
+            obey(o);
+            return;
+        }
+        if (r.status() == 421) {
+            JsonObject o = JsonParser.parseString(r.body()).getAsJsonObject();
+            int next = o.has("director") ? List.copyOf(world.nodes.keySet()).indexOf(o.get("director").getAsString()) : -1;
+            if (next >= 0 && next != target) {
+                target = next;
+                changed = true;
+                return;
+            }
+        }
+        lastReport = world.now.minus(world.template.report()).plusSeconds(1);
+        target = (target + 1) % world.nodes.size();
+    }
+
+    private String reportBody() {
+        JsonObject o = new JsonObject();
+        o.addProperty("box", name);
+        o.addProperty("endpoint", address());
+        o.addProperty("rig", type);
+        o.addProperty("hall", zone);
+        o.addProperty("borrowed", spot);
+        o.addProperty("shift", session);
+        o.addProperty("tally", ++seq);
+        o.addProperty("baton", token);
+        if (notice != null) {
+            o.addProperty("warningS", notice);
+        }
+        JsonArray a = new JsonArray();
+        for (Task t : tasks.values()) {
+            JsonObject e = new JsonObject();
+            e.addProperty("shot", t.shot);
+            e.addProperty("take", t.take);
+            e.addProperty("status", t.status);
+            if (t.cause != null) {
+                e.addProperty("cause", t.cause);
+            }
+            a.add(e);
+        }
+        o.add("shots", a);
+        return o.toString();
+    }
+
+    @Override
+    public void request(String method, String path, String body, Consumer<Reply> answer) {
+        act(() -> {
+            if (path.equals("/do")) {
+                JsonObject o = JsonParser.parseString(body).getAsJsonObject();
+                if (o.get("baton").getAsLong() < token || o.get("shift").getAsLong() != session) {
+                    answer.accept(new Reply(409, reportBody()));
+                    return;
+                }
+                obey(o);
+            }
+            answer.accept(new Reply(200, reportBody()));
+        });
+    }
+
+    private void obey(JsonObject o) {
+        if (o.get("baton").getAsLong() > token) {
+            token = o.get("baton").getAsLong();
+            changed = true;
+        }
+        for (JsonElement e : o.getAsJsonArray("cues")) {
+            JsonObject c = e.getAsJsonObject();
+            String shot = c.get("shot").getAsString();
+            long take = c.get("take").getAsLong();
+            Task t = tasks.get(shot + "#" + take);
+            switch (c.get("cue").getAsString()) {
+                case "run" -> run(shot, take, t);
+                case "stop" -> {
+                    if (t != null && !t.status.equals("exited")) {
+                        exit(t, "stopped");
+                    }
+                }
+                default -> {
+                    if (t != null && t.status.equals("exited")) {
+                        tasks.remove(shot + "#" + take);
+                    }
+                }
+            }
+        }
+    }
+
+    private void run(String shot, long take, Task known) {
+        if (known != null) {
+            return;
+        }
+        changed = true;
+        Task t = new Task();
+        t.shot = shot;
+        t.take = take;
+        t.generation = ++generation;
+        boolean busy = tasks.values().stream().anyMatch(x -> x.shot.equals(shot) && !x.status.equals("exited"));
+        tasks.put(shot + "#" + take, t);
+        Users.Job job = world.users.jobs.get(shot.substring(0, shot.indexOf('/')));
+        if (busy || job == null) {
+            t.status = "exited";
+            t.cause = busy ? "busy" : "unknown";
+            return;
+        }
+        double cpus = job.cpus + tasks.values().stream().filter(x -> x != t && !"exited".equals(x.status))
+                .mapToDouble(x -> world.users.jobs.get(x.shot.substring(0, x.shot.indexOf('/'))).cpus).sum();
+        if (cpus > Cloud.TYPES.get(type)[0] + 1e-6) {
+            t.status = "exited";
+            t.cause = "no_room";
+            return;
+        }
+        t.status = "pulling";
+        Duration fetch = images.contains(job.image) ? Duration.ofMillis(1) : Duration.ofMillis((long) (2000 * slowFetch));
+        world.after(fetch, () -> act(() -> {
+            if (tasks.get(shot + "#" + take) == t && t.status.equals("pulling")) {
+                images.add(job.image);
+                t.status = "running";
+                changed = true;
+                world.rules.started(this, t);
+                Duration length = world.users.finished.contains(shot) ? Duration.ofMillis(1) : job.run(world.random);
+                world.after(faulty ? Duration.ofSeconds(1) : length, () -> act(() -> {
+                    if (tasks.get(shot + "#" + take) == t && t.status.equals("running")) {
+                        if (!faulty) {
+                            world.users.finished.add(shot);
+                        }
+                        exit(t, faulty ? "error" : "done");
+                    }
+                }));
+            }
+        }));
+    }
+
+    private void exit(Task t, String cause) {
+        t.status = "exited";
+        t.cause = cause;
+        changed = true;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/havenford/world/World.java
@@ -0,0 +1,226 @@
+package org.havenford.world;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.havenford.coordination.Controller;
+import org.havenford.coordination.Operator;
+import org.havenford.protocol.Settings;
+import org.havenford.transport.EventLoop;
+import org.havenford.transport.HttpCalls;
+import org.havenford.transport.HttpServer;
+
+/**
+ * A deterministic world in one thread: clock, network, state service, cloud, workers and users, written from the
+ * published protocol, around the real controllers. The same seed gives the same run.
+ */
+public final class World {
+    /** A way that messages between two ends are disturbed. */
+    enum Cut {
+        /** Messages vanish. */
+        DROP,
+        /** Messages are kept and delivered when the cut ends, however late. */
+        HOLD
+    }
+
+    private record Event(Instant at, long order, Runnable task) {
+    }
+
+    /** A party that answers HTTP requests. */
+    interface Server {
+        void request(String method, String path, String body, Consumer<HttpCalls.Reply> answer);
+    }
+
+    final SplittableRandom random;
+    Instant now = Instant.EPOCH;
+    private long order;
+    private final PriorityQueue<Event> queue = new PriorityQueue<>((a, b) -> {
+        int c = a.at.compareTo(b.at);
+        return c != 0 ? c : Long.compare(a.order, b.order);
+    });
+    final Map<String, Server> servers = new HashMap<>();
+    private final Map<String, Cut> cuts = new HashMap<>();
+    private final Map<String, List<Runnable>> held = new HashMap<>();
+    final Map<String, Node> nodes = new LinkedHashMap<>();
+    final Store store = new Store(this);
+    final Cloud cloud = new Cloud(this);
+    final Rules rules = new Rules(this);
+    final Users users = new Users(this);
+    final Map<String, Worker> workers = new LinkedHashMap<>();
+    final Settings template;
+    final List<String> log = new ArrayList<>();
+
+    World(long seed, Settings template) {
+        this.random = new SplittableRandom(seed);
+        this.template = template;
+        servers.put(template.stateAddress(), store);
+        servers.put(template.cloudAddress(), cloud);
+    }
+
+    void note(String line) {
+        log.add(String.format("%8.3f %s", seconds(), line));
+    }
+
+    double seconds() {
+        return Duration.between(Instant.EPOCH, now).toMillis() / 1e3;
+    }
+
+    void after(Duration delay, Runnable task) {
+        queue.add(new Event(now.plus(delay), order++, task));
+    }
+
+    void at(double second, Runnable task) {
+        queue.add(new Event(Instant.EPOCH.plusMillis((long) (second * 1000)), order++, task));
+    }
+
+    void runUntil(double second) {
+        Instant end = Instant.EPOCH.plusMillis((long) (second * 1000));
+        while (!queue.isEmpty() && !queue.peek().at.isAfter(end)) {
+            Event e = queue.poll();
+            now = e.at;
+            e.task.run();
+            rules.check();
+        }
+        now = end;
+    }
+
+    // ---- network
+
+    private static String link(String a, String b) {
+        return a.compareTo(b) < 0 ? a + "~" + b : b + "~" + a;
+    }
+
+    void cut(String a, String b, Cut how) {
+        cuts.put(link(a, b), how);
+    }
+
+    void heal(String a, String b) {
+        cuts.remove(link(a, b));
+        List<Runnable> late = held.remove(link(a, b));
+        if (late != null) {
+            late.forEach(r -> after(Duration.ofMillis(1), r));
+        }
+    }
+
+    /** Carries a message, or holds it or drops it as the link demands. */
+    private void carry(String from, String to, Runnable delivery) {
+        Cut c = cuts.get(link(from, to));
+        if (c == Cut.HOLD) {
+            held.computeIfAbsent(link(from, to), k -> new ArrayList<>()).add(delivery);
+        } else if (c == null) {
+            after(Duration.ofMillis(1 + random.nextInt(4)), delivery);
+        }
+    }
+
+    void call(String from, String to, String method, String path, String body, Duration timeout, Consumer<HttpCalls.Reply> done) {
+        boolean[] over = {false};
+        Consumer<HttpCalls.Reply> once = r -> {
+            if (!over[0]) {
+                over[0] = true;
+                done.accept(r);
+            }
+        };
+        after(timeout, () -> once.accept(new HttpCalls.Reply(HttpCalls.NO_ANSWER, "")));
+        carry(from, to, () -> {
+            Server s = servers.get(to);
+            if (s == null) {
+                carry(to, from, () -> once.accept(new HttpCalls.Reply(HttpCalls.NOT_SENT, "")));
+                return;
+            }
+            s.request(method, path, body, reply -> carry(to, from, () -> once.accept(reply)));
+        });
+    }
+
+    // ---- controllers
+
+    final class Node implements Server {
+        final Settings settings;
+        private Life life;
+
+        Node(Settings settings) {
+            this.settings = settings;
+        }
+
+        void start() {
+            life = new Life();
+            servers.put(settings.bind(), this);
+            life.controller.start();
+            note("start " + settings.node());
+        }
+
+        void crash() {
+            life.dead = true;
+            life = null;
+            servers.remove(settings.bind());
+            note("crash " + settings.node());
+        }
+
+        boolean alive() {
+            return life != null;
+        }
+
+        @Override
+        public void request(String method, String path, String body, Consumer<HttpCalls.Reply> answer) {
+            Life served = life;
+            if (served == null) {
+                return;
+            }
+            byte[] bytes = body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8);
+            served.controller.handle(new HttpServer.Request(method, path, bytes), r -> {
+                if (!served.dead) {
+                    answer.accept(new HttpCalls.Reply(r.status(), r.body()));
+                }
+            });
+        }
+
+        /** One run of the process; what it had scheduled dies with it, what it had sent does not. */
+        private final class Life implements EventLoop, HttpCalls {
+            private boolean dead;
+            private final double drift = 1 + (random.nextDouble() - 0.5) * 0.001;
+            private final Instant started = World.this.now;
+            private final Controller controller = new Controller(this, this, settings, Operator.DEFAULTS);
+
+            @Override
+            public Instant now() {
+                return Instant.EPOCH.plusNanos((long) (Duration.between(started, World.this.now).toNanos() * drift));
+            }
+
+            @Override
+            public Instant timeOfDay() {
+                return World.this.now.plusSeconds(1_700_000_000L);
+            }
+
+            @Override
+            public void after(Duration delay, Runnable task) {
+                World.this.after(delay, () -> {
+                    if (!dead) {
+                        task.run();
+                    }
+                });
+            }
+
+            @Override
+            public void call(String address, String method, String path, String body, Duration timeout, Consumer<Reply> done) {
+                World.this.call(settings.bind(), address, method, path, body, timeout, r -> {
+                    if (!dead) {
+                        done.accept(r);
+                    }
+                });
+            }
+        }
+    }
+
+    void addNode(Settings s) {
+        Node n = new Node(s);
+        nodes.put(s.node(), n);
+        n.start();
+    }
+}
