--- a/src/main/java/org/havenford/Main.java
+++ b/src/main/java/org/havenford/Main.java
@@ -108,7 +108,7 @@
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.STACK_SIZE, 256L * 1024)
+                .set(Options.STACK_SIZE, 1024L * 1024)
                 .set(Options.TCP_NODELAY, true)
                 .getMap());
         XnioLoop loop = new XnioLoop(worker.getIoThread());
--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Ledger;
@@ -25,8 +26,8 @@
     record Want(JobSpec spec, double tasks) {
     }
 
-    /** Machines per kind, and what of the wants no kind could take, in machines. */
-    record Split(Object2DoubleOpenHashMap<Kind> machines, double unmet) {
+    /** Machines per kind, and the types of which more were wanted than there are. */
+    record Split(Object2DoubleOpenHashMap<Kind> machines, Set<String> scarce) {
     }
 
     private Demand() {
@@ -62,8 +63,8 @@
             if (patient) {
                 Duration median = Ledger.median(j, false);
                 double run = Math.max(1, (median == null ? s.guess() : median).toMillis() / 1e3);
-                if (j.due() != null) {
-                    double time = Duration.between(timeOfDay, j.due()).toMillis() / 1e3;
+                double time = j.due() == null ? 0 : Duration.between(timeOfDay, j.due()).toMillis() / 1e3 - fetch(s, ledger);
+                if (time >= run) {
                     tasks = left / Math.max(1, Math.floor(time * 0.8 / run));
                 } else {
                     tasks = left * run / (run + boot(s, ledger));
@@ -88,6 +89,11 @@
         return ledger.types().values().stream().filter(s::fits).mapToDouble(t -> t.boot().toMillis() / 1e3).min().orElse(60);
     }
 
+    private static double fetch(JobSpec s, Ledger ledger) {
+        double rate = ledger.types().values().stream().filter(s::fits).mapToDouble(MachineType::fetchGbPerS).max().orElse(1);
+        return s.imageGb() / Math.max(0.01, rate);
+    }
+
     private static boolean allowed(JobSpec s, MachineType t, boolean spot) {
         return t.zones().stream().anyMatch(z -> s.allows(t, z, spot));
     }
@@ -105,7 +111,7 @@
     static Split machines(List<Want> wants, Map<String, MachineType> types,
             Predicate<Kind> exhausted, Map<Kind, Integer> have) {
         Object2DoubleOpenHashMap<Kind> out = new Object2DoubleOpenHashMap<>();
-        double unmet = 0;
+        Object2DoubleOpenHashMap<String> unmet = new Object2DoubleOpenHashMap<>();
         List<Want> sorted = new ArrayList<>(wants);
         sorted.sort(Comparator.comparingLong((Want w) -> types.values().stream().filter(t -> allowed(w.spec(), t, false)).count())
                 .thenComparing(w -> w.spec().id()));
@@ -134,9 +140,11 @@
                 }
             }
             if (tasks > 1e-9 && !kinds.isEmpty()) {
-                unmet += tasks / slots(s, types.get(kinds.get(0).type()));
+                double missing = tasks / slots(s, types.get(kinds.get(0).type()));
+                kinds.stream().map(Kind::type).distinct().forEach(t -> unmet.addTo(t, missing));
             }
         }
-        return new Split(out, unmet);
+        unmet.values().removeIf((double d) -> d < 1);
+        return new Split(out, Set.copyOf(unmet.keySet()));
     }
 }
--- a/src/main/java/org/havenford/coordination/Operator.java
+++ b/src/main/java/org/havenford/coordination/Operator.java
@@ -14,7 +14,7 @@
         Duration idleBeforeReturn, double spareShare, Duration silentBeforeReturn) {
 
     public static final Operator DEFAULTS = new Operator(0.75, 10, Duration.ofSeconds(8), Duration.ofMillis(20),
-            Duration.ofSeconds(15), 0.15, Duration.ofSeconds(30));
+            Duration.ofSeconds(20), 0.15, Duration.ofSeconds(30));
 
     /** A setting that can't be used; the text names the element. */
     public static final class BadSetting extends Exception {
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -37,9 +37,9 @@
 public final class Provisioner {
     private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
-    private static final Duration AVERAGE_OVER = Duration.ofSeconds(120);
-    private static final Duration SCARCE_FOR = Duration.ofSeconds(120);
-    private static final Duration REFUSAL_HOLDS = Duration.ofSeconds(20);
+    private static final Duration AVERAGE_OVER = Duration.ofSeconds(90);
+    private static final Duration SCARCE_FOR = Duration.ofSeconds(60);
+    private static final Duration REFUSAL_HOLDS = Duration.ofSeconds(90);
 
     private final EventLoop loop;
     private final HttpCalls calls;
@@ -64,7 +64,7 @@
     private Instant nextList = Instant.MIN;
     private Instant nextRent = Instant.MIN;
     private Instant lastFullList = Instant.MIN;
-    private Instant scarceUntil = Instant.MIN;
+    private final Map<String, Instant> scarceUntil = new HashMap<>();
     private boolean listing;
     private String typesText = "";
     private long counter;
@@ -291,6 +291,8 @@
                 return;
             }
             names.forEach(n -> returned.put(n, loop.now()));
+            // What went back can be had again.
+            batch.forEach(r -> refused.remove(offer(r.type(), r.zone(), r.spot())));
             // By now the machines and all on them are gone. The records' absence tells the owners so.
             StateStore.Txn txn = new StateStore.Txn();
             for (String n : names) {
@@ -377,13 +379,11 @@
         // The average follows all that could run at once, so that the next burst finds room; the need of the moment is
         // counted with patience, so that a burst does not fill the fleet with machines that come up too late for it.
         Demand.Split all = demand(false, now, have);
-        if (all.unmet() >= 1) {
-            scarceUntil = now.plus(SCARCE_FOR);
-        }
+        Demand.Split least = demand(true, now, have);
+        least.scarce().forEach(t -> scarceUntil.put(t, now.plus(SCARCE_FOR)));
+        scarceUntil.values().removeIf(now::isAfter);
         // Where the cloud has lately had less than was asked for, machines are kept and fetched without that patience.
-        boolean scarce = now.isBefore(scarceUntil);
         Object2DoubleOpenHashMap<Kind> full = all.machines();
-        Object2DoubleOpenHashMap<Kind> need = scarce ? full : demand(true, now, have).machines();
         double weight = averagedAt == null ? 1 : Math.min(1, Duration.between(averagedAt, now).toMillis() / (double) AVERAGE_OVER.toMillis());
         boolean start = averagedAt == null;
         averagedAt = now;
@@ -392,15 +392,16 @@
             for (boolean spot : new boolean[] {true, false}) {
                 Kind k = new Kind(t.name(), spot);
                 double a = average.getDouble(k);
-                a = start ? need.getDouble(k) : a + (full.getDouble(k) - a) * weight;
+                double need = (scarceUntil.containsKey(t.name()) ? full : least.machines()).getDouble(k);
+                a = start ? need : a + (full.getDouble(k) - a) * weight;
                 average.put(k, a);
-                wanted.put(k, (int) Math.ceil(Math.max(need.getDouble(k), a * (1 + operator.spareShare())) - 0.05));
+                // Only spot machines are kept for work that has not come yet: ordinary ones cost three times as much.
+                double kept = spot ? a * (1 + operator.spareShare()) : 0;
+                wanted.put(k, (int) Math.ceil(Math.max(need, kept) - 0.05));
             }
         }
         rent(now, wanted, have);
-        if (!scarce) {
-            trim(now, wanted, have);
-        }
+        trim(now, wanted, have);
     }
 
     private Demand.Split demand(boolean patient, Instant now, Map<Kind, Integer> have) {
@@ -437,12 +438,17 @@
         }
     }
 
+    /** An idle machine is kept for about as long as a new one would take to boot; a spot machine longer, being cheap. */
+    private Duration patience(MachineRecord r) {
+        return r.spot() ? operator.idleBeforeReturn().multipliedBy(2) : operator.idleBeforeReturn();
+    }
+
     private void trim(Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have) {
         List<MachineRecord> idle = new ArrayList<>();
         for (MachineRecord r : ledger.machines()) {
             if (r.condition() != Condition.UP || !ledger.claimsOn(r.name()).isEmpty()) {
                 idleSince.remove(r.name());
-            } else if (now.isAfter(idleSince.computeIfAbsent(r.name(), n -> now).plus(operator.idleBeforeReturn()))) {
+            } else if (now.isAfter(idleSince.computeIfAbsent(r.name(), n -> now).plus(patience(r)))) {
                 idle.add(r);
             }
         }
@@ -455,7 +461,7 @@
             Kind s = new Kind(r.type(), true);
             Kind o = new Kind(r.type(), false);
             int surplus = have.getOrDefault(s, 0) + have.getOrDefault(o, 0) - wanted.getOrDefault(s, 0) - wanted.getOrDefault(o, 0);
-            if (surplus > 0 && !inFlight.contains(r.name())) {
+            if (surplus > 0 && !scarceUntil.containsKey(r.type()) && !inFlight.contains(r.name())) {
                 StateStore.Txn txn = new StateStore.Txn();
                 markReturning(txn, r);
                 LOG.info("returning {}: idle", r.name());
