--- a/src/main/java/org/havenford/coordination/Operator.java
+++ b/src/main/java/org/havenford/coordination/Operator.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Set;
+import java.util.TreeSet;
 import javax.xml.parsers.DocumentBuilderFactory;
 import javax.xml.parsers.ParserConfigurationException;
 import org.w3c.dom.Element;
@@ -11,10 +13,10 @@
 
 /** What operators may set beyond the platform's file, in XML. See docs/operations.md. */
 public record Operator(double lateThreshold, int lateMinimumDone, Duration membershipLease, Duration roundBudget,
-        Duration idleBeforeReturn, double spareShare, Duration silentBeforeReturn) {
+        Duration idleBeforeReturn, double spareShare, Duration silentBeforeReturn, Set<String> speedFirstTeams) {
 
     public static final Operator DEFAULTS = new Operator(0.75, 10, Duration.ofSeconds(8), Duration.ofMillis(20),
-            Duration.ofSeconds(20), 0.15, Duration.ofSeconds(30));
+            Duration.ofSeconds(40), 0.15, Duration.ofSeconds(30), Set.of());
 
     /** A setting that can't be used; the text names the element. */
     public static final class BadSetting extends Exception {
@@ -54,20 +56,29 @@
     private Operator with(String name, String text) throws BadSetting {
         return switch (name) {
             case "late-threshold" -> new Operator(number(name, text, 0.5, 0.999), lateMinimumDone, membershipLease,
-                    roundBudget, idleBeforeReturn, spareShare, silentBeforeReturn);
+                    roundBudget, idleBeforeReturn, spareShare, silentBeforeReturn, speedFirstTeams);
             case "late-minimum-done" -> new Operator(lateThreshold, (int) number(name, text, 1, 100_000), membershipLease,
-                    roundBudget, idleBeforeReturn, spareShare, silentBeforeReturn);
+                    roundBudget, idleBeforeReturn, spareShare, silentBeforeReturn, speedFirstTeams);
             case "membership-lease-s" -> new Operator(lateThreshold, lateMinimumDone,
                     Duration.ofMillis((long) (number(name, text, 2, 60) * 1000)), roundBudget, idleBeforeReturn, spareShare,
-                    silentBeforeReturn);
+                    silentBeforeReturn, speedFirstTeams);
             case "round-budget-ms" -> new Operator(lateThreshold, lateMinimumDone, membershipLease,
-                    Duration.ofMillis((long) number(name, text, 1, 1000)), idleBeforeReturn, spareShare, silentBeforeReturn);
+                    Duration.ofMillis((long) number(name, text, 1, 1000)), idleBeforeReturn, spareShare, silentBeforeReturn, speedFirstTeams);
             case "idle-before-return-s" -> new Operator(lateThreshold, lateMinimumDone, membershipLease, roundBudget,
-                    Duration.ofMillis((long) (number(name, text, 0, 86_400) * 1000)), spareShare, silentBeforeReturn);
+                    Duration.ofMillis((long) (number(name, text, 0, 86_400) * 1000)), spareShare, silentBeforeReturn, speedFirstTeams);
             case "spare-share" -> new Operator(lateThreshold, lateMinimumDone, membershipLease, roundBudget,
-                    idleBeforeReturn, number(name, text, 0, 10), silentBeforeReturn);
+                    idleBeforeReturn, number(name, text, 0, 10), silentBeforeReturn, speedFirstTeams);
             case "silent-before-return-s" -> new Operator(lateThreshold, lateMinimumDone, membershipLease, roundBudget,
-                    idleBeforeReturn, spareShare, Duration.ofMillis((long) (number(name, text, 5, 3600) * 1000)));
+                    idleBeforeReturn, spareShare, Duration.ofMillis((long) (number(name, text, 5, 3600) * 1000)), speedFirstTeams);
+            case "speed-first-team" -> {
+                if (text.isEmpty()) {
+                    throw new BadSetting("<" + name + ">: names no team");
+                }
+                Set<String> teams = new TreeSet<>(speedFirstTeams);
+                teams.add(text);
+                yield new Operator(lateThreshold, lateMinimumDone, membershipLease, roundBudget, idleBeforeReturn, spareShare,
+                        silentBeforeReturn, teams);
+            }
             default -> this;
         };
     }
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -38,6 +38,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
     private static final Duration AVERAGE_OVER = Duration.ofSeconds(90);
+    private static final Duration SUSTAINED_OVER = Duration.ofSeconds(30);
     private static final Duration SCARCE_FOR = Duration.ofSeconds(60);
     private static final Duration REFUSAL_HOLDS = Duration.ofSeconds(90);
 
@@ -59,6 +60,8 @@
     private final Map<String, Instant> lastListed = new HashMap<>();
     private final Set<String> failed = new HashSet<>();
     private final Object2DoubleOpenHashMap<Kind> average = new Object2DoubleOpenHashMap<>();
+    private final Object2DoubleOpenHashMap<Kind> sustained = new Object2DoubleOpenHashMap<>();
+    private final boolean speedFirst;
     private Instant averagedAt;
     private Instant nextTypes = Instant.MIN;
     private Instant nextList = Instant.MIN;
@@ -81,6 +84,7 @@
         this.store = store;
         this.membership = membership;
         this.wake = wake;
+        this.speedFirst = settings.teams().keySet().stream().anyMatch(operator.speedFirstTeams()::contains);
         this.budget = new TokenBucket(settings.cloudRps() * 0.8, 1, loop.now());
     }
 
@@ -378,26 +382,27 @@
         }
         // The average follows all that could run at once, so that the next burst finds room; the need of the moment is
         // counted with patience, so that a burst does not fill the fleet with machines that come up too late for it.
-        Demand.Split all = demand(false, now, have);
+        Demand.Split whole = demand(false, now, have);
         Demand.Split least = demand(true, now, have);
         least.scarce().forEach(t -> scarceUntil.put(t, now.plus(SCARCE_FOR)));
         scarceUntil.values().removeIf(now::isAfter);
         // Where the cloud has lately had less than was asked for, machines are kept and fetched without that patience.
-        Object2DoubleOpenHashMap<Kind> full = all.machines();
+        Object2DoubleOpenHashMap<Kind> full = whole.machines();
         double weight = averagedAt == null ? 1 : Math.min(1, Duration.between(averagedAt, now).toMillis() / (double) AVERAGE_OVER.toMillis());
-        boolean start = averagedAt == null;
+        double slow = averagedAt == null ? 0 : Math.min(1, Duration.between(averagedAt, now).toMillis() / (double) SUSTAINED_OVER.toMillis());
         averagedAt = now;
         Map<Kind, Integer> wanted = new HashMap<>();
         for (MachineType t : ledger.types().values()) {
             for (boolean spot : new boolean[] {true, false}) {
                 Kind k = new Kind(t.name(), spot);
-                double a = average.getDouble(k);
-                double need = (scarceUntil.containsKey(t.name()) ? full : least.machines()).getDouble(k);
-                a = start ? need : a + (full.getDouble(k) - a) * weight;
-                average.put(k, a);
-                // Only spot machines are kept for work that has not come yet: ordinary ones cost three times as much.
-                double kept = spot ? a * (1 + operator.spareShare()) : 0;
-                wanted.put(k, (int) Math.ceil(Math.max(need, kept) - 0.05));
+                boolean all = speedFirst || scarceUntil.containsKey(t.name());
+                double need = (all ? full : least.machines()).getDouble(k);
+                average.addTo(k, (full.getDouble(k) - average.getDouble(k)) * weight);
+                sustained.addTo(k, (need - sustained.getDouble(k)) * slow);
+                // Spot machines are kept for work that has not come yet. Ordinary ones cost three times as much: they
+                // are rented for a need that lasts longer than they take to boot.
+                double n = speedFirst || spot ? Math.max(need, average.getDouble(k) * (1 + operator.spareShare())) : sustained.getDouble(k);
+                wanted.put(k, (int) Math.ceil(n - 0.05));
             }
         }
         rent(now, wanted, have);
@@ -438,17 +443,12 @@
         }
     }
 
-    /** An idle machine is kept for about as long as a new one would take to boot; a spot machine longer, being cheap. */
-    private Duration patience(MachineRecord r) {
-        return r.spot() ? operator.idleBeforeReturn().multipliedBy(2) : operator.idleBeforeReturn();
-    }
-
     private void trim(Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have) {
         List<MachineRecord> idle = new ArrayList<>();
         for (MachineRecord r : ledger.machines()) {
             if (r.condition() != Condition.UP || !ledger.claimsOn(r.name()).isEmpty()) {
                 idleSince.remove(r.name());
-            } else if (now.isAfter(idleSince.computeIfAbsent(r.name(), n -> now).plus(patience(r)))) {
+            } else if (now.isAfter(idleSince.computeIfAbsent(r.name(), n -> now).plus(operator.idleBeforeReturn()))) {
                 idle.add(r);
             }
         }
@@ -461,7 +461,7 @@
             Kind s = new Kind(r.type(), true);
             Kind o = new Kind(r.type(), false);
             int surplus = have.getOrDefault(s, 0) + have.getOrDefault(o, 0) - wanted.getOrDefault(s, 0) - wanted.getOrDefault(o, 0);
-            if (surplus > 0 && !scarceUntil.containsKey(r.type()) && !inFlight.contains(r.name())) {
+            if (surplus > 0 && !speedFirst && !scarceUntil.containsKey(r.type()) && !inFlight.contains(r.name())) {
                 StateStore.Txn txn = new StateStore.Txn();
                 markReturning(txn, r);
                 LOG.info("returning {}: idle", r.name());
