--- a/src/main/java/org/havenford/Main.java
+++ b/src/main/java/org/havenford/Main.java
@@ -5,6 +5,7 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.havenford.coordination.Controller;
 import org.havenford.coordination.Operator;
 import org.havenford.protocol.Json;
@@ -61,6 +62,8 @@
                 .description("settings of the platform, JSON").build());
         spec.addOption(OptionSpec.builder("--operator").paramLabel("FILE").type(Path.class)
                 .description("settings of the operators, XML (see docs/operations.md)").build());
+        spec.addOption(OptionSpec.builder("--rehearse").type(boolean.class).arity("0").hidden(true)
+                .description("start, talk to itself for a moment and end; the build archives the classes that this loads").build());
         spec.addOption(OptionSpec.builder("-h", "--help").usageHelp(true).description("show this help").build());
         spec.addOption(OptionSpec.builder("--version").versionHelp(true).description("show the version").build());
         CommandLine line = new CommandLine(spec);
@@ -73,6 +76,9 @@
         if (help != null) {
             return help;
         }
+        if (parsed.hasMatchedOption("--rehearse")) {
+            return Rehearsal.run();
+        }
         Path file = parsed.matchedOptionValue("--config", (Path) null);
         if (file == null) {
             System.err.println("havenford: --config is missing");
@@ -103,7 +109,11 @@
         return FAILED;
     }
 
-    private static void serve(Settings settings, Operator operator) throws IOException {
+    /**
+     * Starts the one event-loop thread and builds everything on it. The calling thread only waits: two threads that load
+     * classes at the same time have been seen to crash the process in read() (docs/incidents/start-crash.md).
+     */
+    static void serve(Settings settings, Operator operator) throws IOException {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
@@ -111,6 +121,19 @@
                 .set(Options.STACK_SIZE, 1024L * 1024)
                 .set(Options.TCP_NODELAY, true)
                 .getMap());
+        CompletableFuture<Void> built = new CompletableFuture<>();
+        worker.getIoThread().execute(() -> {
+            try {
+                build(worker, settings, operator);
+                built.complete(null);
+            } catch (RuntimeException e) {
+                built.completeExceptionally(e);
+            }
+        });
+        built.join();
+    }
+
+    private static void build(XnioWorker worker, Settings settings, Operator operator) {
         XnioLoop loop = new XnioLoop(worker.getIoThread());
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8 * 1024, 64, 0);
         HttpClient client = new HttpClient(loop, buffers, Math.max(50, settings.maxConnections() / 3));
@@ -118,7 +141,7 @@
         int colon = settings.bind().lastIndexOf(':');
         new HttpServer(worker, settings.bind().substring(0, colon), Integer.parseInt(settings.bind().substring(colon + 1)),
                 Math.max(50, settings.maxConnections() / 2), controller).start();
-        loop.after(java.time.Duration.ZERO, controller::start);
         LoggerFactory.getLogger(Main.class).info("{} serves on {}", settings.node(), settings.bind());
+        controller.start();
     }
 }
--- /dev/null
+++ b/src/main/java/org/havenford/Rehearsal.java
@@ -0,0 +1,61 @@
+package org.havenford;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.Enumeration;
+import java.util.jar.JarEntry;
+import java.util.jar.JarFile;
+import org.havenford.coordination.Operator;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.Settings;
+
+/**
+ * A start without a deployment, for the build: it loads the classes that a start needs, so that the JVM can archive them.
+ * The controller takes itself for the state service and the cloud, which answers every call with 404.
+ */
+final class Rehearsal {
+    private Rehearsal() {
+    }
+
+    static int run() {
+        try {
+            String self = "127.0.0.1:" + freePort();
+            Main.serve(Settings.parse("{\"node_name\":\"rehearsal\",\"location\":\"a\",\"bind\":\"" + self
+                    + "\",\"cluster_listen\":\"127.0.0.1:" + freePort() + "\",\"endpoints\":{\"cloud\":\"" + self
+                    + "\",\"state\":\"" + self + "\"},\"deployment\":{\"workers\":{\"report_s\":3,\"lease_s\":20,\"cancel_s\":40},"
+                    + "\"state\":{\"rps\":100,\"write_rps\":50,\"value_kb\":8,\"txn_ops\":12},"
+                    + "\"cloud\":{\"rps\":5,\"list_lag_s\":4}}}"), Operator.DEFAULTS);
+            loadOwnClasses();
+            Thread.sleep(1500);
+            return 0;
+        } catch (IOException | Json.BadMessage | ReflectiveOperationException e) {
+            System.err.println("havenford: the rehearsal failed: " + e.getMessage());
+            return 1;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return s.getLocalPort();
+        }
+    }
+
+    private static void loadOwnClasses() throws IOException, ClassNotFoundException {
+        String jar = Rehearsal.class.getProtectionDomain().getCodeSource().getLocation().getPath();
+        if (!jar.endsWith(".jar")) {
+            return;
+        }
+        try (JarFile file = new JarFile(jar)) {
+            for (Enumeration<JarEntry> e = file.entries(); e.hasMoreElements();) {
+                String name = e.nextElement().getName();
+                if (name.startsWith("org/havenford/") && name.endsWith(".class")) {
+                    Class.forName(name.substring(0, name.length() - ".class".length()).replace('/', '.'));
+                }
+            }
+        }
+    }
+}
