Preempt young work of lower priority when a start aim is about to be missed

Cause: at the Replay House urgent jobs wait behind clip cutting that has ample time (steady, rough: waits of 15 s missed). Ruled out: renting more; the fleet is whole.

--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -431,6 +431,19 @@
         }
     }
 
+    /** Marks a claim on one of our machines to be stopped for more urgent work. */
+    public void preempt(Claim c) {
+        MachineState m = mine(c.machine()) ? machines.get(c.machine()) : null;
+        if (m == null || m.report == null || c.session() != m.report.session()) {
+            return;
+        }
+        Attempt a = m.attempt(c.task(), c.attempt());
+        if (a.seen && a.stop == null) {
+            LOG.info("{} on {} is stopped for more urgent work", c.task(), c.machine());
+            a.stop = StopReason.PREEMPTED;
+        }
+    }
+
     // ---- time passing
 
     /** One turn of the loop over the owned machines: lease ends, lateness, records. */
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -31,6 +31,10 @@
     public record Placement(TaskId task, String machine) {
     }
 
+    /** What to claim, and which claims to give up so that more urgent work can start. */
+    public record Plan(List<Placement> placements, List<Claim> preempted) {
+    }
+
     /** Room left on a machine, claims not confirmed gone counted as taken. */
     static final class Room {
         final MachineRecord machine;
@@ -39,6 +43,7 @@
         double cards;
         double mem;
         final Set<String> images = new HashSet<>();
+        final List<Claim> claims = new ArrayList<>();
         /** Images that claims on this machine may still be fetching. */
         final Set<String> fetching = new HashSet<>();
 
@@ -83,6 +88,13 @@
     /** Likewise to let ordinary machines, which cost more, run empty and be returned. */
     private static final double ORDINARY = 0.3;
 
+    private static final Duration PRESSING_BEFORE = Duration.ofSeconds(7);
+    private static final Duration PRESSING_AFTER = Duration.ofSeconds(20);
+    /** Work of more than this is not stopped for other work. */
+    private static final Duration MOST_LOST = Duration.ofSeconds(20);
+    /** Time that a stopped task is taken to need until it starts again. */
+    private static final Duration AGAIN = Duration.ofSeconds(25);
+
     private final Ledger ledger;
     private final Settings settings;
     /** Job at which the last round ran out of time; the next one goes on there. */
@@ -154,6 +166,7 @@
                 Job j = ledger.job(c.task().job());
                 if (j != null) {
                     room.take(j.spec());
+                    room.claims.add(c);
                 }
             }
             rooms.put(m.name(), room);
@@ -162,8 +175,8 @@
     }
 
     /** Assigns pending tasks in order, until the room or the round's time is used up. */
-    public List<Placement> plan(Instant now, Limits limits, Map<String, Room> rooms) {
-        List<Placement> out = new ArrayList<>();
+    public Plan plan(Instant now, Limits limits, Map<String, Room> rooms) {
+        Plan out = new Plan(new ArrayList<>(), new ArrayList<>());
         if (rooms.isEmpty()) {
             return out;
         }
@@ -185,13 +198,13 @@
                 break;
             }
             if (!limits.held().test(job)) {
-                place(job, limits, rooms, used, out);
+                place(job, now, limits, rooms, used, out);
             }
         }
         return out;
     }
 
-    private void place(Job job, Limits limits, Map<String, Room> rooms, Map<String, double[]> used, List<Placement> out) {
+    private void place(Job job, Instant now, Limits limits, Map<String, Room> rooms, Map<String, double[]> used, Plan out) {
         JobSpec s = job.spec();
         Settings.Team team = settings.teams().get(s.team());
         double[] u = null;
@@ -211,6 +224,7 @@
             }
         }
         double smallest = ledger.types().values().stream().filter(s::fits).mapToDouble(MachineType::cpus).min().orElse(0);
+        boolean pressing = pressing(job, now);
         String onlyZone = null;
         if (s.together()) {
             onlyZone = zones.isEmpty() ? bestZone(s, rooms, job.pendingCount()) : zones.keySet().iterator().next();
@@ -249,7 +263,7 @@
                     }
                 }
                 if (best == null) {
-                    if (!anyFits) {
+                    if (!anyFits && (!pressing || !preempt(job, now, rooms, onlyZone, out))) {
                         return;
                     }
                     continue;
@@ -260,7 +274,7 @@
                     u[1] += s.cards();
                 }
                 zones.merge(best.machine.zone(), 1, Integer::sum);
-                out.add(new Placement(task, best.machine.name()));
+                out.placements().add(new Placement(task, best.machine.name()));
                 if (--quota == 0) {
                     return;
                 }
@@ -268,6 +282,79 @@
         }
     }
 
+    /** Whether a job of high priority is about to miss the start that its class aims at. */
+    private boolean pressing(Job job, Instant now) {
+        if (job.spec().priority().compareTo(JobSpec.Priority.NORMAL) >= 0) {
+            return false;
+        }
+        Instant latest = latestStart(job, now);
+        return now.isAfter(latest.minus(PRESSING_BEFORE)) && now.isBefore(latest.plus(PRESSING_AFTER));
+    }
+
+    /**
+     * Finds work of lower priority to stop: as little as possible of what has been done is lost, and only what can still
+     * be in time afterwards is taken. The order does not depend on who looks, and until the stop is confirmed the same
+     * claims are found again; so controllers and rounds do not stop more and more for the same need.
+     */
+    private boolean preempt(Job job, Instant now, Map<String, Room> rooms, String onlyZone, Plan out) {
+        JobSpec s = job.spec();
+        Room best = null;
+        List<Claim> bestVictims = null;
+        long bestLoss = Long.MAX_VALUE;
+        for (Room room : rooms.values()) {
+            MachineRecord m = room.machine;
+            if (!s.allows(room.type, m.zone(), m.spot()) || onlyZone != null && !onlyZone.equals(m.zone())) {
+                continue;
+            }
+            List<Claim> young = new ArrayList<>(room.claims);
+            young.removeIf(c -> !spare(c, s.priority(), now));
+            young.sort(Comparator.comparing(Claim::at).reversed().thenComparing(Claim::task));
+            List<Claim> victims = new ArrayList<>();
+            double cpus = room.cpus;
+            double cards = room.cards;
+            double mem = room.mem;
+            long loss = 0;
+            for (Claim c : young) {
+                if (s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6) {
+                    break;
+                }
+                JobSpec v = ledger.job(c.task().job()).spec();
+                cpus += v.cpus();
+                cards += v.cards();
+                mem += v.memGb();
+                loss += (long) (v.cpus() * Duration.between(c.at(), now).toMillis());
+                victims.add(c);
+            }
+            if (s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6 && loss < bestLoss) {
+                best = room;
+                bestVictims = victims;
+                bestLoss = loss;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        for (Claim c : bestVictims) {
+            JobSpec v = ledger.job(c.task().job()).spec();
+            best.cpus += v.cpus();
+            best.cards += v.cards();
+            best.mem += v.memGb();
+            best.claims.remove(c);
+            out.preempted().add(c);
+        }
+        best.take(s);
+        return true;
+    }
+
+    private boolean spare(Claim c, JobSpec.Priority than, Instant now) {
+        Job j = ledger.job(c.task().job());
+        if (j == null || j.cancelled() || j.spec().priority().compareTo(than) <= 0
+                || Duration.between(c.at(), now).compareTo(MOST_LOST) > 0) {
+            return false;
+        }
+        return j.due() == null || now.plus(AGAIN).isBefore(latestStart(j, now));
+    }
+
     /** The zone in which most tasks of a job that must stay together find room. */
     private static String bestZone(JobSpec s, Map<String, Room> rooms, int pending) {
         Map<String, Integer> fit = new HashMap<>();
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -169,10 +169,10 @@
                 p -> impatient.contains(p.task().job()) && !self.equals(view.owner(p.machine()))
                         || fleet.avoided(p.task(), p.machine()),
                 () -> loop.now().isAfter(deadline));
-        List<Planner.Placement> plan = planner.plan(start, limits, rooms);
+        Planner.Plan plan = planner.plan(loop.timeOfDay(), limits, rooms);
         Map<String, List<Planner.Placement>> mine = new LinkedHashMap<>();
         Set<String> foreign = new HashSet<>();
-        for (Planner.Placement p : plan) {
+        for (Planner.Placement p : plan.placements()) {
             if (self.equals(view.owner(p.machine()))) {
                 Job j = ledger.job(p.task().job());
                 mine.computeIfAbsent(Keys.tasks(j.id(), j.chunkOf(p.task().index())), k -> new ArrayList<>()).add(p);
@@ -184,6 +184,7 @@
         foreign.forEach(j -> foreignSince.putIfAbsent(j, start));
         impatient.forEach(foreignSince::remove);
         mine.forEach(this::claim);
+        plan.preempted().forEach(fleet::preempt);
     }
 
     private boolean held(Job job) {
