--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Ledger;
@@ -26,10 +25,6 @@
     record Want(JobSpec spec, double tasks) {
     }
 
-    /** Machines per kind, and the types of which more were wanted than there are. */
-    record Split(Object2DoubleOpenHashMap<Kind> machines, Set<String> scarce) {
-    }
-
     private Demand() {
     }
 
@@ -108,10 +103,9 @@
      * Spreads the wants over the kinds, cheapest first; the jobs with the least choice go first. A kind that the cloud
      * has refused counts only with what is there.
      */
-    static Split machines(List<Want> wants, Map<String, MachineType> types,
+    static Object2DoubleOpenHashMap<Kind> machines(List<Want> wants, Map<String, MachineType> types,
             Predicate<Kind> exhausted, Map<Kind, Integer> have) {
         Object2DoubleOpenHashMap<Kind> out = new Object2DoubleOpenHashMap<>();
-        Object2DoubleOpenHashMap<String> unmet = new Object2DoubleOpenHashMap<>();
         List<Want> sorted = new ArrayList<>(wants);
         sorted.sort(Comparator.comparingLong((Want w) -> types.values().stream().filter(t -> allowed(w.spec(), t, false)).count())
                 .thenComparing(w -> w.spec().id()));
@@ -139,12 +133,7 @@
                     break;
                 }
             }
-            if (tasks > 1e-9 && !kinds.isEmpty()) {
-                double missing = tasks / slots(s, types.get(kinds.get(0).type()));
-                kinds.stream().map(Kind::type).distinct().forEach(t -> unmet.addTo(t, missing));
-            }
         }
-        unmet.values().removeIf((double d) -> d < 1);
-        return new Split(out, Set.copyOf(unmet.keySet()));
+        return out;
     }
 }
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -39,7 +39,6 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
     private static final Duration AVERAGE_OVER = Duration.ofSeconds(90);
     private static final Duration SUSTAINED_OVER = Duration.ofSeconds(30);
-    private static final Duration SCARCE_FOR = Duration.ofSeconds(60);
     private static final Duration REFUSAL_HOLDS = Duration.ofSeconds(90);
 
     private final EventLoop loop;
@@ -67,7 +66,6 @@
     private Instant nextList = Instant.MIN;
     private Instant nextRent = Instant.MIN;
     private Instant lastFullList = Instant.MIN;
-    private final Map<String, Instant> scarceUntil = new HashMap<>();
     private boolean listing;
     private String typesText = "";
     private long counter;
@@ -382,12 +380,8 @@
         }
         // The average follows all that could run at once, so that the next burst finds room; the need of the moment is
         // counted with patience, so that a burst does not fill the fleet with machines that come up too late for it.
-        Demand.Split whole = demand(false, now, have);
-        Demand.Split least = demand(true, now, have);
-        least.scarce().forEach(t -> scarceUntil.put(t, now.plus(SCARCE_FOR)));
-        scarceUntil.values().removeIf(now::isAfter);
-        // Where the cloud has lately had less than was asked for, machines are kept and fetched without that patience.
-        Object2DoubleOpenHashMap<Kind> full = whole.machines();
+        Object2DoubleOpenHashMap<Kind> full = demand(false, now, have);
+        Object2DoubleOpenHashMap<Kind> least = demand(true, now, have);
         double weight = averagedAt == null ? 1 : Math.min(1, Duration.between(averagedAt, now).toMillis() / (double) AVERAGE_OVER.toMillis());
         double slow = averagedAt == null ? 0 : Math.min(1, Duration.between(averagedAt, now).toMillis() / (double) SUSTAINED_OVER.toMillis());
         averagedAt = now;
@@ -395,8 +389,7 @@
         for (MachineType t : ledger.types().values()) {
             for (boolean spot : new boolean[] {true, false}) {
                 Kind k = new Kind(t.name(), spot);
-                boolean all = speedFirst || scarceUntil.containsKey(t.name());
-                double need = (all ? full : least.machines()).getDouble(k);
+                double need = (speedFirst ? full : least).getDouble(k);
                 average.addTo(k, (full.getDouble(k) - average.getDouble(k)) * weight);
                 sustained.addTo(k, (need - sustained.getDouble(k)) * slow);
                 // Spot machines are kept for work that has not come yet. Ordinary ones cost three times as much: they
@@ -409,7 +402,7 @@
         trim(now, wanted, have);
     }
 
-    private Demand.Split demand(boolean patient, Instant now, Map<Kind, Integer> have) {
+    private Object2DoubleOpenHashMap<Kind> demand(boolean patient, Instant now, Map<Kind, Integer> have) {
         return Demand.machines(Demand.wants(ledger, settings, loop.timeOfDay(), patient), ledger.types(),
                 k -> exhausted(k, now), have);
     }
@@ -461,7 +454,7 @@
             Kind s = new Kind(r.type(), true);
             Kind o = new Kind(r.type(), false);
             int surplus = have.getOrDefault(s, 0) + have.getOrDefault(o, 0) - wanted.getOrDefault(s, 0) - wanted.getOrDefault(o, 0);
-            if (surplus > 0 && !speedFirst && !scarceUntil.containsKey(r.type()) && !inFlight.contains(r.name())) {
+            if (surplus > 0 && !speedFirst && !inFlight.contains(r.name())) {
                 StateStore.Txn txn = new StateStore.Txn();
                 markReturning(txn, r);
                 LOG.info("returning {}: idle", r.name());
