--- a/src/main/java/org/havenford/coordination/Operator.java
+++ b/src/main/java/org/havenford/coordination/Operator.java
@@ -7,6 +7,7 @@
 import java.util.TreeSet;
 import javax.xml.parsers.DocumentBuilderFactory;
 import javax.xml.parsers.ParserConfigurationException;
+import org.havenford.protocol.Settings;
 import org.w3c.dom.Element;
 import org.w3c.dom.Node;
 import org.xml.sax.SAXException;
@@ -27,6 +28,11 @@
         }
     }
 
+    /** Whether this deployment serves a team for which money does not count. */
+    public boolean speedFirst(Settings settings) {
+        return settings.teams().keySet().stream().anyMatch(speedFirstTeams::contains);
+    }
+
     public static Operator read(Path file) throws IOException, BadSetting {
         Element root;
         try {
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -87,6 +87,8 @@
     private static final double LARGER_THAN_NEEDED = 2;
     /** Likewise to let ordinary machines, which cost more, run empty and be returned. */
     private static final double ORDINARY = 0.3;
+    /** Seconds of fetching that a second of running is worth on a machine that can't be taken back. */
+    private static final double SPOT_RISK = 0.05;
 
     private static final Duration PRESSING_BEFORE = Duration.ofSeconds(7);
     private static final Duration PRESSING_AFTER = Duration.ofSeconds(20);
@@ -97,12 +99,25 @@
 
     private final Ledger ledger;
     private final Settings settings;
+    private final boolean speedFirst;
     /** Job at which the last round ran out of time; the next one goes on there. */
     private String resumeAt;
 
-    public Planner(Ledger ledger, Settings settings) {
+    public Planner(Ledger ledger, Settings settings, Operator operator) {
         this.ledger = ledger;
         this.settings = settings;
+        this.speedFirst = operator.speedFirst(settings);
+    }
+
+    /**
+     * Where money decides, ordinary machines are left to run empty. Where speed does, long tasks keep away from spot
+     * machines: a run that is lost near its end has to be done again in full.
+     */
+    private double kindPenalty(JobSpec s, MachineRecord m) {
+        if (speedFirst) {
+            return m.spot() && s.checkpoint().isZero() ? s.guess().toMillis() / 1e3 * SPOT_RISK : 0;
+        }
+        return m.spot() ? 0 : ORDINARY;
     }
 
     /** Jobs with work left, the one to be served first at the front. */
@@ -256,7 +271,7 @@
                         continue;
                     }
                     double score = room.fetchSeconds(s) + (room.cpus - s.cpus()) / room.type.cpus()
-                            + (room.type.cpus() > smallest ? LARGER_THAN_NEEDED : 0) + (m.spot() ? 0 : ORDINARY);
+                            + (room.type.cpus() > smallest ? LARGER_THAN_NEEDED : 0) + kindPenalty(s, m);
                     if (score < bestScore) {
                         bestScore = score;
                         best = room;
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -82,7 +82,7 @@
         this.store = store;
         this.membership = membership;
         this.wake = wake;
-        this.speedFirst = settings.teams().keySet().stream().anyMatch(operator.speedFirstTeams()::contains);
+        this.speedFirst = operator.speedFirst(settings);
         this.budget = new TokenBucket(settings.cloudRps() * 0.8, 1, loop.now());
     }
 
@@ -391,6 +391,10 @@
                 Kind k = new Kind(t.name(), spot);
                 double need = (speedFirst ? full : least).getDouble(k);
                 average.addTo(k, (full.getDouble(k) - average.getDouble(k)) * weight);
+                if (exhausted(k, now)) {
+                    // A wish that can't be met must not hold on to machines of another kind in its place.
+                    average.put(k, Math.min(average.getDouble(k), have.getOrDefault(k, 0)));
+                }
                 sustained.addTo(k, (need - sustained.getDouble(k)) * slow);
                 // Spot machines are kept for work that has not come yet. Ordinary ones cost three times as much: they
                 // are rented for a need that lasts longer than they take to boot.
@@ -398,6 +402,9 @@
                 wanted.put(k, (int) Math.ceil(n - 0.05));
             }
         }
+        if (LOG.isDebugEnabled()) {
+            LOG.debug("fleet: have {}, wanted {}, needed {}, could use {}", have, wanted, least, full);
+        }
         rent(now, wanted, have);
         trim(now, wanted, have);
     }
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -64,7 +64,7 @@
         this.store = store;
         this.membership = membership;
         this.fleet = fleet;
-        this.planner = new Planner(ledger, settings);
+        this.planner = new Planner(ledger, settings, operator);
         this.wake = wake;
     }
 
