--- a/src/main/java/org/havenford/coordination/Controller.java
+++ b/src/main/java/org/havenford/coordination/Controller.java
@@ -26,6 +26,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final Duration TICK = Duration.ofMillis(250);
     private static final Duration GATHER = Duration.ofMillis(4);
+    /** Time for a worker to hear of a cancellation, and for clocks that differ. */
+    private static final Duration CANCEL_MARGIN = Duration.ofSeconds(6);
     private static final Duration TALLY = Duration.ofSeconds(60);
 
     private final EventLoop loop;
@@ -82,7 +84,7 @@
      * off may renew the worker's lease until its own ends.
      */
     static Duration membershipLife(Settings settings, Operator operator) {
-        Duration most = settings.cancel().minus(settings.workerLease()).dividedBy(2);
+        Duration most = settings.cancel().minus(settings.workerLease()).minus(CANCEL_MARGIN);
         Duration life = operator.membershipLease();
         return life.compareTo(most) > 0 && most.compareTo(Duration.ofSeconds(2)) > 0 ? most : life;
     }
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -84,7 +84,9 @@
     }
 
     /** Seconds of fetching that it is worth to leave a large machine to those tasks that need one. */
-    private static final double LARGER_THAN_NEEDED = 2;
+    private static final double LARGER_THAN_NEEDED = 1;
+    /** The same while such tasks are waiting. */
+    private static final double LARGE_AND_AWAITED = 3;
     /** Likewise to let ordinary machines, which cost more, run empty and be returned. */
     private static final double ORDINARY = 0.3;
     /** Seconds of fetching that a second of running is worth on a machine that can't be taken back. */
@@ -100,6 +102,7 @@
     private final Ledger ledger;
     private final Settings settings;
     private final boolean speedFirst;
+    private Set<String> awaited = Set.of();
     /** Job at which the last round ran out of time; the next one goes on there. */
     private String resumeAt;
 
@@ -166,6 +169,26 @@
         return latest == null ? j.submitted().plus(Duration.ofSeconds(120)) : latest;
     }
 
+    private double largePenalty(MachineType type, double smallest) {
+        if (type.cpus() <= smallest) {
+            return 0;
+        }
+        return awaited.contains(type.name()) ? LARGE_AND_AWAITED : LARGER_THAN_NEEDED;
+    }
+
+    /** Types that waiting tasks can't do without. */
+    private Set<String> awaited(List<Job> waiting) {
+        Set<String> out = new HashSet<>();
+        for (Job j : waiting) {
+            List<MachineType> fit = ledger.types().values().stream().filter(t -> (j.spec().types() == null
+                    || j.spec().types().contains(t.name())) && j.spec().fits(t)).toList();
+            if (fit.size() == 1) {
+                out.add(fit.get(0).name());
+            }
+        }
+        return out;
+    }
+
     /** Room on the machines that take tasks. */
     Map<String, Room> rooms(Predicate<MachineRecord> usable) {
         Map<String, Room> rooms = new LinkedHashMap<>();
@@ -197,6 +220,7 @@
         }
         Object2ObjectOpenHashMap<String, double[]> used = new Object2ObjectOpenHashMap<>();
         List<Job> order = order(now);
+        awaited = awaited(order);
         int from = 0;
         if (resumeAt != null) {
             for (int i = 0; i < order.size(); i++) {
@@ -271,7 +295,7 @@
                         continue;
                     }
                     double score = room.fetchSeconds(s) + (room.cpus - s.cpus()) / room.type.cpus()
-                            + (room.type.cpus() > smallest ? LARGER_THAN_NEEDED : 0) + kindPenalty(s, m);
+                            + largePenalty(room.type, smallest) + kindPenalty(s, m);
                     if (score < bestScore) {
                         bestScore = score;
                         best = room;
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -38,7 +38,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
     private static final Duration AVERAGE_OVER = Duration.ofSeconds(90);
-    private static final Duration SUSTAINED_OVER = Duration.ofSeconds(30);
+    private static final Duration SUSTAINED_OVER = Duration.ofSeconds(45);
     private static final Duration REFUSAL_HOLDS = Duration.ofSeconds(90);
 
     private final EventLoop loop;
@@ -100,6 +100,12 @@
             lastListed.clear();
             lastFullList = Instant.MIN;
             averagedAt = null;
+            // Its predecessor knew since when machines have been idle; half the time is a fair guess.
+            for (MachineRecord r : ledger.machines()) {
+                if (r.condition() == Condition.UP && ledger.claimsOn(r.name()).isEmpty()) {
+                    idleSince.put(r.name(), now.minus(operator.idleBeforeReturn().dividedBy(2)));
+                }
+            }
         }
         types(now);
         list(now);
@@ -403,7 +409,13 @@
             }
         }
         if (LOG.isDebugEnabled()) {
-            LOG.debug("fleet: have {}, wanted {}, needed {}, could use {}", have, wanted, least, full);
+            Map<Kind, Integer> idle = new HashMap<>();
+            for (MachineRecord r : ledger.machines()) {
+                if (r.condition() == Condition.UP && ledger.claimsOn(r.name()).isEmpty()) {
+                    idle.merge(new Kind(r.type(), r.spot()), 1, Integer::sum);
+                }
+            }
+            LOG.debug("fleet: have {}, idle {}, wanted {}, needed {}, could use {}", have, idle, wanted, least, full);
         }
         rent(now, wanted, have);
         trim(now, wanted, have);
