--- a/src/main/java/org/havenford/coordination/Operator.java
+++ b/src/main/java/org/havenford/coordination/Operator.java
@@ -17,7 +17,7 @@
         Duration idleBeforeReturn, double spareShare, Duration silentBeforeReturn, Set<String> speedFirstTeams) {
 
     public static final Operator DEFAULTS = new Operator(0.75, 10, Duration.ofSeconds(8), Duration.ofMillis(20),
-            Duration.ofSeconds(30), 0.15, Duration.ofSeconds(30), Set.of());
+            Duration.ofSeconds(20), 0.15, Duration.ofSeconds(30), Set.of());
 
     /** A setting that can't be used; the text names the element. */
     public static final class BadSetting extends Exception {
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -84,7 +84,7 @@
     }
 
     /** Seconds of fetching that it is worth to leave a large machine to those tasks that need one. */
-    private static final double LARGER_THAN_NEEDED = 1;
+    private static final double LARGER_THAN_NEEDED = 2;
     /** The same while such tasks are waiting. */
     private static final double LARGE_AND_AWAITED = 3;
     /** Likewise to let ordinary machines, which cost more, run empty and be returned. */
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -38,7 +38,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Provisioner.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
     private static final Duration AVERAGE_OVER = Duration.ofSeconds(90);
-    private static final Duration SUSTAINED_OVER = Duration.ofSeconds(45);
+    private static final Duration SUSTAINED_OVER = Duration.ofSeconds(8);
     private static final Duration REFUSAL_HOLDS = Duration.ofSeconds(90);
 
     private final EventLoop loop;
