--- a/src/main/java/org/havenford/bookkeeping/Ledger.java
+++ b/src/main/java/org/havenford/bookkeeping/Ledger.java
@@ -55,7 +55,7 @@
     private final Object2ObjectOpenHashMap<String, Map<TaskId, Claim>> claims = new Object2ObjectOpenHashMap<>();
     private final TreeMap<String, Booking> bookings = new TreeMap<>();
     private final Map<String, MachineType> types = new TreeMap<>();
-    /** Tasks whose job has not been seen yet (pages and changes come key by key). */
+    /** Chunks without a job: while keys come one by one, its header is still to come; afterwards the job is over. */
     private final Map<String, JsonObject> orphans = new HashMap<>();
     private Observer observer;
 
@@ -91,6 +91,10 @@
         return bookings.values();
     }
 
+    public Collection<String> orphans() {
+        return orphans.keySet();
+    }
+
     public Map<String, MachineType> types() {
         return types;
     }
@@ -155,6 +159,11 @@
             jobs.remove(id);
             if (before != null) {
                 before.claims().forEach(this::unindex);
+                for (int i = 0; i < before.chunkCount(); i++) {
+                    if (before.stored(i) != null) {
+                        orphans.put(id + "/" + i, new JsonObject());
+                    }
+                }
             }
             return;
         }
--- a/src/main/java/org/havenford/coordination/Membership.java
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -3,7 +3,6 @@
 import com.google.gson.JsonObject;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Map;
 import java.util.TreeMap;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Mirror;
@@ -23,6 +22,9 @@
     private static final double DRIFT = 0.001;
     private static final Duration MARGIN = Duration.ofMillis(150);
 
+    /** Keeps the view's value small. */
+    private static final int MAX_MOVES = 100;
+
     private record Member(long incarnation, long stamp) {
     }
 
@@ -209,7 +211,9 @@
 
     /** Asks for a machine that seems unable to reach its owner. */
     public void wantMove(String machine) {
-        wantedMoves.put(machine, node);
+        if (wantedMoves.size() < MAX_MOVES && view.moved().size() < MAX_MOVES) {
+            wantedMoves.put(machine, node);
+        }
     }
 
     /** One turn of the loop: proposes the wanted view if it differs from the one in force. */
@@ -253,8 +257,4 @@
             }
         });
     }
-
-    public Map<String, String> wantedMoves() {
-        return wantedMoves;
-    }
 }
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -35,6 +35,7 @@
     /** How long another owner may leave a planned task lying before its machines are left out of the plan. */
     private static final Duration FOREIGN_PATIENCE = Duration.ofMillis(800);
     private static final int MAX_FINAL_CHUNKS = 8;
+    private static final String SWEEP = "sweep";
 
     private final EventLoop loop;
     private final Settings settings;
@@ -72,10 +73,6 @@
         return roundMicros;
     }
 
-    public Planner planner() {
-        return planner;
-    }
-
     public void step() {
         if (!mirror.loaded() || !membership.entitled()) {
             return;
@@ -84,6 +81,7 @@
         release();
         place(start);
         finish();
+        sweep();
         roundMicros.recordValue(Math.min(60_000_000L, Duration.between(start, loop.now()).toNanos() / 1000));
     }
 
@@ -274,6 +272,20 @@
         }
     }
 
+    /** Chunks of large jobs that are over. */
+    private void sweep() {
+        if (ledger.orphans().isEmpty() || busy.contains(SWEEP) || !settings.node().equals(membership.view().first())) {
+            return;
+        }
+        StateStore.Txn txn = new StateStore.Txn();
+        for (String path : ledger.orphans()) {
+            if (txn.writes() < settings.txnOps() - 2) {
+                txn.guard(Keys.job(path.substring(0, path.indexOf('/'))), 0).delete(Keys.TASKS + path);
+            }
+        }
+        commit(txn, List.of(SWEEP), () -> { });
+    }
+
     private void conclude(Job j, boolean done) {
         StateStore.Txn txn = new StateStore.Txn().guard(Keys.job(j.id()), mirror.stamp(Keys.job(j.id())));
         int left = 0;
--- a/src/main/java/org/havenford/transport/HttpServer.java
+++ b/src/main/java/org/havenford/transport/HttpServer.java
@@ -59,10 +59,6 @@
         server.start();
     }
 
-    public void stop() {
-        server.stop();
-    }
-
     private static void receive(HttpServerExchange exchange, Handler handler) {
         String method = exchange.getRequestMethod().toString();
         String path = exchange.getRequestPath();
--- /dev/null
+++ b/src/test/java/org/havenford/world/InterfaceTest.java
@@ -0,0 +1,77 @@
+package org.havenford.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.havenford.transport.HttpCalls.Reply;
+import org.junit.jupiter.api.Test;
+
+/** What users are answered, over the real routes of a controller. */
+class InterfaceTest {
+    private final World world = new World(7, Trace.settings(0, "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":8}"));
+
+    private Reply ask(String method, String path, String body) {
+        Reply[] out = new Reply[1];
+        world.call("users", "node-0:1", method, path, body, Duration.ofSeconds(5), r -> out[0] = r);
+        world.runUntil(world.seconds() + 5.1);
+        return out[0];
+    }
+
+    private void start() {
+        world.addNode(Trace.settings(0, "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":8}"));
+        world.runUntil(3);
+    }
+
+    private static String job(String id, String team, int tasks, double cpus) {
+        Users.Job j = new Users.Job();
+        j.id = id;
+        j.team = team;
+        j.tasks = tasks;
+        j.cpus = cpus;
+        j.runS = 5;
+        j.image = "img-1";
+        j.spot = true;
+        return Users.body(j).toString();
+    }
+
+    @Test
+    void whatCannotBeTakenIsAnsweredAtOnce() {
+        start();
+        assertEquals(200, ask("GET", "/healthz", null).status());
+        assertEquals(400, ask("POST", "/submissions", "[]").status());
+        assertEquals(400, ask("POST", "/submissions", "{").status());
+        assertEquals(400, ask("POST", "/submissions", job("j-1", "red", 0, 1)).status());
+        assertEquals(422, ask("POST", "/submissions", job("j-1", "nobody", 1, 1)).status());
+        assertEquals(422, ask("POST", "/submissions", job("j-1", "red", 1, 9)).status());
+        assertEquals(404, ask("GET", "/submissions/j-1", null).status());
+        assertEquals(404, ask("GET", "/submissions/..%2fx", null).status());
+        assertEquals(404, ask("POST", "/submissions/j-1/abort", null).status());
+        assertEquals(400, ask("POST", "/checkin", "{\"box\":7}").status());
+    }
+
+    @Test
+    void aRepeatIsAnsweredWithTheStateAlsoWhenTheJobIsOver() {
+        start();
+        world.cloud.boot("small", "a", false, Duration.ofMillis(10));
+        Trace.event(world, new String[] {"at", "3", "submit", "j-5", "red", "2", "1", "5"});
+        world.runUntil(world.seconds() + 60);
+        assertEquals(List.of(), world.rules.broken);
+        Reply again = ask("POST", "/submissions", job("j-5", "red", 2, 1));
+        assertEquals(200, again.status());
+        assertTrue(again.body().contains("\"done\""), again.body());
+        assertTrue(ask("POST", "/submissions/j-5/abort", null).body().contains("\"done\""));
+    }
+
+    /** During an outage nothing is promised, and nothing is held back: the answer is a time to come back. */
+    @Test
+    void anOutageIsSaidAtOnce() {
+        start();
+        world.store.outage = true;
+        Reply[] out = new Reply[1];
+        world.call("users", "node-0:1", "POST", "/submissions", job("j-9", "red", 1, 1), Duration.ofSeconds(5), r -> out[0] = r);
+        world.runUntil(world.seconds() + 0.2);
+        assertEquals(503, out[0].status());
+    }
+}
--- a/src/test/java/org/havenford/world/Trace.java
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -76,6 +76,7 @@
                 case "cancelled" -> world.users.jobs.get(e[2]).cancelTold != null;
                 case "log" -> world.log.stream().anyMatch(l -> l.contains(text));
                 case "no-log" -> world.log.stream().noneMatch(l -> l.contains(text));
+                case "no-key" -> world.store.values.keySet().stream().noneMatch(k -> k.startsWith(text));
                 case "starts" -> world.rules.starts == Integer.parseInt(e[2]);
                 case "broken" -> world.rules.broken.stream().anyMatch(b -> b.contains(" " + e[2] + ": "));
                 default -> throw new IllegalArgumentException(String.join(" ", e));
--- a/src/test/java/org/havenford/world/Users.java
+++ b/src/test/java/org/havenford/world/Users.java
@@ -24,6 +24,8 @@
         boolean spot;
         boolean apart;
         String zone;
+        String urgency = "normal";
+        double due;
         boolean accepted;
         Instant cancelTold;
         String last = "";
@@ -56,6 +58,8 @@
             j.apart |= o.equals("apart");
             j.spot &= !o.equals("ordinary");
             j.zone = o.startsWith("zone=") ? o.substring(5) : j.zone;
+            j.urgency = o.equals("urgent") ? o : j.urgency;
+            j.due = o.startsWith("due=") ? Double.parseDouble(o.substring(4)) : j.due;
         }
         jobs.put(id, j);
         send(j);
@@ -68,7 +72,10 @@
         o.addProperty("lineup", "class");
         o.addProperty("crew", j.team);
         o.addProperty("shape", "batch");
-        o.addProperty("urgency", "normal");
+        o.addProperty("urgency", j.urgency);
+        if (j.due > 0) {
+            o.addProperty("airtimeS", j.due);
+        }
         o.addProperty("shots", j.tasks);
         o.addProperty("vcpus", j.cpus);
         o.addProperty("cards", 0.0);
