--- a/src/test/java/org/havenford/world/Rules.java
+++ b/src/test/java/org/havenford/world/Rules.java
@@ -46,6 +46,9 @@
                 if (o != t && on(w, o) && o.shot.equals(t.shot)) {
                     broken("ran_twice", t.shot + " on " + w.name + " and " + on.name);
                 }
+                if (j.together && on(w, o) && !w.zone.equals(on.zone) && jobOf(o.shot).equals(j.id)) {
+                    broken("wrong_place", t.shot + " in zone " + on.zone + ", " + o.shot + " in zone " + w.zone);
+                }
                 if (on(w, o) && w.zone.equals(on.zone) && jobOf(o.shot).equals(j.id)) {
                     same++;
                 }
--- a/src/test/java/org/havenford/world/Trace.java
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -122,6 +122,8 @@
             case "faulty" -> w.workers.get(a).faulty = true;
             case "slow-fetch" -> w.workers.get(a).slowFetch = Double.parseDouble(e[4]);
             case "notice" -> w.workers.get(a).notice = Double.parseDouble(e[4]);
+            case "late-commands" -> w.lateCommands.put(end(w, a), Duration.ofMillis((long) (Double.parseDouble(e[4]) * 1000)));
+            case "late-changes" -> w.lateChanges.put(end(w, a), Duration.ofMillis((long) (Double.parseDouble(e[4]) * 1000)));
             case "late-txns" -> {
                 w.store.lateTxns = Integer.parseInt(a);
                 w.store.lateTxn = Duration.ofMillis((long) (Double.parseDouble(e[4]) * 1000));
--- a/src/test/java/org/havenford/world/Users.java
+++ b/src/test/java/org/havenford/world/Users.java
@@ -23,6 +23,7 @@
         String image;
         boolean spot;
         boolean apart;
+        boolean together;
         String zone;
         String urgency = "normal";
         double due;
@@ -56,6 +57,7 @@
         j.spot = true;
         for (String o : options) {
             j.apart |= o.equals("apart");
+            j.together |= o.equals("together");
             j.spot &= !o.equals("ordinary");
             j.zone = o.startsWith("zone=") ? o.substring(5) : j.zone;
             j.urgency = o.equals("urgent") ? o : j.urgency;
@@ -82,7 +84,7 @@
         o.addProperty("memGb", 1.0);
         o.addProperty("reel", j.image);
         o.addProperty("imageGb", 1.0);
-        o.addProperty("together", false);
+        o.addProperty("together", j.together);
         o.addProperty("apart", j.apart);
         o.addProperty("borrowed", j.spot);
         if (j.zone != null) {
--- a/src/test/java/org/havenford/world/World.java
+++ b/src/test/java/org/havenford/world/World.java
@@ -48,6 +48,9 @@
     });
     final Map<String, Server> servers = new HashMap<>();
     private final Map<String, Cut> cuts = new HashMap<>();
+    /** Machines that /do reaches this much later, and nodes that are told of changes this much later. */
+    final Map<String, Duration> lateCommands = new HashMap<>();
+    final Map<String, Duration> lateChanges = new HashMap<>();
     private final Map<String, List<Runnable>> held = new HashMap<>();
     final Map<String, Node> nodes = new LinkedHashMap<>();
     final Store store = new Store(this);
@@ -129,13 +132,25 @@
             }
         };
         after(timeout, () -> once.accept(new HttpCalls.Reply(HttpCalls.NO_ANSWER, "")));
+        Duration late = path.startsWith("/do") ? lateCommands.get(to) : null;
+        Duration lateAnswer = path.startsWith("/changes") ? lateChanges.get(from) : null;
+        if (late != null) {
+            after(late, () -> {
+                Server s = servers.get(to);
+                if (s != null) {
+                    s.request(method, path, body, reply -> carry(to, from, () -> once.accept(reply)));
+                }
+            });
+            return;
+        }
         carry(from, to, () -> {
             Server s = servers.get(to);
             if (s == null) {
                 carry(to, from, () -> once.accept(new HttpCalls.Reply(HttpCalls.NOT_SENT, "")));
                 return;
             }
-            s.request(method, path, body, reply -> carry(to, from, () -> once.accept(reply)));
+            s.request(method, path, body, reply -> after(lateAnswer == null ? Duration.ZERO : lateAnswer,
+                    () -> carry(to, from, () -> once.accept(reply))));
         });
     }
 
