--- a/src/main/java/org/havenford/transport/HttpClient.java
+++ b/src/main/java/org/havenford/transport/HttpClient.java
@@ -10,13 +10,13 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.StringReadChannelListener;
 import io.undertow.util.StringWriteChannelListener;
-import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
+import org.agrona.collections.Object2ObjectHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -33,7 +33,7 @@
     private final ByteBufferPool buffers;
     private final int maxOpen;
     private int open;
-    private final Object2ObjectOpenHashMap<String, ArrayDeque<ClientConnection>> idle = new Object2ObjectOpenHashMap<>();
+    private final Object2ObjectHashMap<String, ArrayDeque<ClientConnection>> idle = new Object2ObjectHashMap<>();
 
     public HttpClient(XnioLoop loop, ByteBufferPool buffers, int maxOpen) {
         this.loop = loop;
