--- a/src/main/java/org/havenford/Main.java
+++ b/src/main/java/org/havenford/Main.java
@@ -136,11 +136,18 @@
     private static void build(XnioWorker worker, Settings settings, Operator operator) {
         XnioLoop loop = new XnioLoop(worker.getIoThread());
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8 * 1024, 64, 0);
-        HttpClient client = new HttpClient(loop, buffers, Math.max(50, settings.maxConnections() / 3));
+        // When the other controllers are down, all workers and users come here: room for them goes before room for
+        // commands of our own, which also reach workers in answers. What the store and the cloud need is kept back.
+        HttpServer[] server = new HttpServer[1];
+        int most = settings.maxConnections();
+        int kept = Math.max(20, Math.min(60, most / 20));
+        HttpClient client = new HttpClient(loop, buffers,
+                () -> Math.max(kept, Math.min(most / 2, most - kept - (server[0] == null ? 0 : server[0].open()))));
         Controller controller = new Controller(loop, client, settings, operator);
         int colon = settings.bind().lastIndexOf(':');
-        new HttpServer(worker, settings.bind().substring(0, colon), Integer.parseInt(settings.bind().substring(colon + 1)),
-                Math.max(50, settings.maxConnections() / 2), controller).start();
+        server[0] = new HttpServer(worker, settings.bind().substring(0, colon),
+                Integer.parseInt(settings.bind().substring(colon + 1)), Math.max(50, most - 2 * kept), controller);
+        server[0].start();
         LoggerFactory.getLogger(Main.class).info("{} serves on {}", settings.node(), settings.bind());
         controller.start();
     }
--- a/src/main/java/org/havenford/bookkeeping/Chunk.java
+++ b/src/main/java/org/havenford/bookkeeping/Chunk.java
@@ -106,10 +106,10 @@
         return size - done.cardinality() - claims.size();
     }
 
-    public Claim claim(int task, String machine, long session, Instant at) {
+    public Claim claim(int task, String machine, long session, Instant at, String account) {
         long attempt = attempts.get(task) + 1;
         attempts.put(task, attempt);
-        Claim c = new Claim(new TaskId(job, task), attempt, machine, session, at);
+        Claim c = new Claim(new TaskId(job, task), attempt, machine, session, at, account);
         claims.put(task, c);
         return c;
     }
@@ -152,6 +152,9 @@
             a.add(claim.machine());
             a.add(claim.session());
             a.add(claim.at().toEpochMilli());
+            if (!claim.account().isEmpty()) {
+                a.add(claim.account());
+            }
             c.add(a);
         }
         o.add("c", c);
@@ -194,7 +197,8 @@
             for (JsonElement e : Json.array(o, "c")) {
                 JsonArray a = e.getAsJsonArray();
                 Claim c = new Claim(new TaskId(job, a.get(0).getAsInt()), a.get(1).getAsLong(), a.get(2).getAsString(),
-                        a.get(3).getAsLong(), Instant.ofEpochMilli(a.get(4).getAsLong()));
+                        a.get(3).getAsLong(), Instant.ofEpochMilli(a.get(4).getAsLong()),
+                        a.size() > 5 ? a.get(5).getAsString() : "");
                 claims.put(c.task().index(), c);
             }
             if (Json.has(o, "n")) {
--- /dev/null
+++ b/src/main/java/org/havenford/bookkeeping/Heard.java
@@ -0,0 +1,69 @@
+package org.havenford.bookkeeping;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.havenford.bookkeeping.MachineRecord.Condition;
+import org.havenford.protocol.Json;
+
+/**
+ * What an owner says of some of its machines, under one key: hints for the other controllers and for a successor. No
+ * claim, release or return rests on it alone.
+ */
+public record Heard(Instant at, TreeMap<String, Status> machines) {
+    /** Most machines under one key, so that it stays within the value limit. */
+    public static final int MOST = 60;
+    public static final int MOST_IMAGES = 12;
+
+    public record Status(Condition condition, List<String> images) {
+    }
+
+    public JsonObject toJson() {
+        JsonObject o = new JsonObject();
+        o.addProperty("at", at.toEpochMilli());
+        List<String> names = new ArrayList<>();
+        JsonObject all = new JsonObject();
+        machines.forEach((machine, s) -> {
+            JsonArray a = new JsonArray();
+            a.add(s.condition.name().toLowerCase(Locale.ROOT));
+            for (String image : s.images.subList(0, Math.min(MOST_IMAGES, s.images.size()))) {
+                int i = names.indexOf(image);
+                if (i < 0) {
+                    i = names.size();
+                    names.add(image);
+                }
+                a.add(i);
+            }
+            all.add(machine, a);
+        });
+        JsonArray images = new JsonArray();
+        names.forEach(images::add);
+        o.add("i", images);
+        o.add("m", all);
+        return o;
+    }
+
+    public static Heard parse(JsonObject o) throws Json.BadMessage {
+        List<String> names = Json.texts(o, "i");
+        TreeMap<String, Status> all = new TreeMap<>();
+        try {
+            for (Map.Entry<String, JsonElement> e : Json.child(o, "m").entrySet()) {
+                JsonArray a = e.getValue().getAsJsonArray();
+                List<String> images = new ArrayList<>();
+                for (int i = 1; i < a.size(); i++) {
+                    images.add(names.get(a.get(i).getAsInt()));
+                }
+                all.put(e.getKey(), new Status(Condition.valueOf(a.get(0).getAsString().toUpperCase(Locale.ROOT)), images));
+            }
+        } catch (IllegalStateException | IllegalArgumentException | IndexOutOfBoundsException e) {
+            throw new Json.BadMessage("what was heard of machines can't be read");
+        }
+        return new Heard(Instant.ofEpochMilli(Json.count(o, "at")), all);
+    }
+}
--- a/src/main/java/org/havenford/bookkeeping/Job.java
+++ b/src/main/java/org/havenford/bookkeeping/Job.java
@@ -1,19 +1,30 @@
 package org.havenford.bookkeeping;
 
 import com.google.gson.JsonObject;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.Json;
 
 /** An accepted job that is not over, with its tasks. */
 public final class Job {
+    private static final int LEAST_CHUNK = 8;
     private final JobSpec spec;
     private final Instant submitted;
     private final int chunkSize;
     private final boolean cancelled;
     private final Chunk[] chunks;
+    private int done;
+    private int claimed;
+    private int errors;
+    /** Middles of the phases, worked out when asked for after a change. */
+    private boolean mediansKnown;
+    private Duration medianFetch;
+    private Duration medianRun;
 
     public Job(JobSpec spec, Instant submitted, int chunkSize, boolean cancelled) {
         this.spec = spec;
@@ -25,7 +36,13 @@
 
     /** Tasks per key, so that a full chunk stays within the value limit. */
     public static int chunkSize(int valueBytes) {
-        return Math.max(4, Math.min(64, (valueBytes - 600) / 110));
+        return Math.max(4, Math.min(64, (valueBytes - 600) / 130));
+    }
+
+    /** Keys for the controllers to share a job by, none so small that a write says little. */
+    public static int chunkSize(int valueBytes, int tasks, int controllers) {
+        int even = (tasks + controllers - 1) / Math.max(1, controllers);
+        return Math.min(chunkSize(valueBytes), Math.max(LEAST_CHUNK, even));
     }
 
     public JobSpec spec() {
@@ -67,7 +84,18 @@
     }
 
     public void replace(int index, Chunk chunk) {
+        count(chunks[index], -1);
         chunks[index] = chunk;
+        count(chunk, 1);
+        mediansKnown = false;
+    }
+
+    private void count(Chunk c, int sign) {
+        if (c != null) {
+            done += sign * c.doneCount();
+            claimed += sign * c.claims().size();
+            errors += sign * c.errors();
+        }
     }
 
     public Claim claim(int task) {
@@ -76,11 +104,7 @@
     }
 
     public int doneCount() {
-        int n = 0;
-        for (Chunk c : chunks) {
-            n += c == null ? 0 : c.doneCount();
-        }
-        return n;
+        return done;
     }
 
     public List<Claim> claims() {
@@ -94,23 +118,51 @@
     }
 
     public int claimCount() {
-        int n = 0;
-        for (Chunk c : chunks) {
-            n += c == null ? 0 : c.claims().size();
-        }
-        return n;
+        return claimed;
     }
 
     public int pendingCount() {
-        return spec.tasks() - doneCount() - claimCount();
+        return spec.tasks() - done - claimed;
     }
 
     public int errors() {
-        int n = 0;
+        return errors;
+    }
+
+    /** The middle of the tasks' fetches, or null while there are none. */
+    public Duration medianFetch() {
+        findMedians();
+        return medianFetch;
+    }
+
+    /** The middle of the tasks' runs, or null while there are none. */
+    public Duration medianRun() {
+        findMedians();
+        return medianRun;
+    }
+
+    private void findMedians() {
+        if (!mediansKnown) {
+            mediansKnown = true;
+            medianFetch = median(Chunk::fetches);
+            medianRun = median(Chunk::runs);
+        }
+    }
+
+    private Duration median(Function<Chunk, IntArrayList> durations) {
+        IntArrayList all = new IntArrayList();
         for (Chunk c : chunks) {
-            n += c == null ? 0 : c.errors();
+            if (c != null) {
+                all.addAll(durations.apply(c));
+            }
+        }
+        if (all.isEmpty()) {
+            return null;
         }
-        return n;
+        all.sort(null);
+        int n = all.size();
+        double middle = n % 2 == 1 ? all.getInt(n / 2) : (all.getInt(n / 2 - 1) + all.getInt(n / 2)) / 2.0;
+        return Duration.ofMillis((long) (middle * 100));
     }
 
     /** When the job should be done; jobs without a deadline get none. */
--- a/src/main/java/org/havenford/bookkeeping/Keys.java
+++ b/src/main/java/org/havenford/bookkeeping/Keys.java
@@ -9,6 +9,7 @@
     public static final String JOBS = "live/job/";
     public static final String TASKS = "live/tasks/";
     public static final String MACHINES = "live/machine/";
+    public static final String HEARD = "live/heard/";
     public static final String TEAMS = "live/team/";
     public static final String BOOKINGS = "live/booking/";
     public static final String FINALS = "final/";
@@ -24,10 +25,14 @@
         return TASKS + job + "/" + chunk;
     }
 
-    public static String machine(String name) {
+    public static String batch(String name) {
         return MACHINES + name;
     }
 
+    public static String heard(String node, int part) {
+        return HEARD + node + "/" + part;
+    }
+
     public static String team(String name) {
         // Names come from the settings and may hold anything; keys hold no spaces.
         return TEAMS + name.replaceAll("[^A-Za-z0-9_.-]", "_");
--- a/src/main/java/org/havenford/bookkeeping/Ledger.java
+++ b/src/main/java/org/havenford/bookkeeping/Ledger.java
@@ -2,15 +2,19 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import it.unimi.dsi.fastutil.ints.IntArrayList;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import org.havenford.bookkeeping.MachineRecord.Condition;
+import org.havenford.bookkeeping.Quota.Amount;
+import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.Json;
 import org.havenford.protocol.MachineType;
 import org.havenford.protocol.TaskId;
@@ -21,6 +25,10 @@
 public final class Ledger implements Mirror.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
 
+    /** What an owner last said of a machine, and since when it has been in that condition. */
+    private record Said(Heard.Status status, Instant at, Instant since) {
+    }
+
     /** An intent to rent, stored before the cloud is asked. */
     public record Booking(String name, String type, String zone, boolean spot, int count, Instant at) {
         public JsonObject toJson() {
@@ -45,18 +53,29 @@
 
         void memberChanged(String node, JsonObject member, long stamp);
 
+        /** The claims on a machine, or its record, have changed, or what is wanted of them. */
+        void machineChanged(String machine);
+
         void settled();
 
         void loaded();
     }
 
+    private static final Quota NO_QUOTA = new Quota();
+
     private final TreeMap<String, Job> jobs = new TreeMap<>();
     private final Object2ObjectOpenHashMap<String, MachineRecord> machines = new Object2ObjectOpenHashMap<>();
+    private final Map<String, MachineBatch> batches = new HashMap<>();
+    private final Map<String, Set<String>> batchesOf = new HashMap<>();
+    private final Map<String, Said> said = new HashMap<>();
     private final Object2ObjectOpenHashMap<String, Map<TaskId, Claim>> claims = new Object2ObjectOpenHashMap<>();
     private final TreeMap<String, Booking> bookings = new TreeMap<>();
     private final Map<String, MachineType> types = new TreeMap<>();
     /** Chunks without a job: while keys come one by one, its header is still to come; afterwards the job is over. */
     private final Map<String, JsonObject> orphans = new HashMap<>();
+    /** By team and account. */
+    private final Map<String, Map<String, Amount>> charged = new HashMap<>();
+    private final Map<String, Quota> quotas = new HashMap<>();
     private Observer observer;
 
     public void observer(Observer o) {
@@ -79,6 +98,15 @@
         return machines.get(name);
     }
 
+    /** Names of the batches that a machine is in: one, unless it was found before its rental was answered. */
+    public Set<String> batchesOf(String machine) {
+        return batchesOf.getOrDefault(machine, Set.of());
+    }
+
+    public MachineBatch batch(String name) {
+        return batches.get(name);
+    }
+
     public Map<TaskId, Claim> claimsOn(String machine) {
         return claims.getOrDefault(machine, Map.of());
     }
@@ -99,18 +127,27 @@
         return types;
     }
 
-    /** CPUs and cards that the claims of a team hold, those not confirmed gone included. */
-    public double[] usage(String team) {
-        double cpus = 0;
-        double cards = 0;
-        for (Job j : jobs.values()) {
-            if (j.spec().team().equals(team)) {
-                int n = j.claimCount();
-                cpus += n * j.spec().cpus();
-                cards += n * j.spec().cards();
-            }
+    /** What the claims of a team hold, those not confirmed gone included. */
+    public Amount usage(String team) {
+        Amount sum = Amount.NONE;
+        for (Amount a : charged.getOrDefault(team, Map.of()).values()) {
+            sum = sum.plus(a);
         }
-        return new double[] {cpus, cards};
+        return sum;
+    }
+
+    /** What the claims of a team hold that are charged to one controller's share. */
+    public Amount charged(String team, String account) {
+        return charged.getOrDefault(team, Map.of()).getOrDefault(account, Amount.NONE);
+    }
+
+    public Quota quota(String team) {
+        return quotas.getOrDefault(Keys.team(team), NO_QUOTA);
+    }
+
+    private void charge(Claim c, JobSpec s, int sign) {
+        Map<String, Amount> of = charged.computeIfAbsent(s.team(), t -> new HashMap<>());
+        of.merge(c.account(), new Amount(sign * s.cpus(), sign * s.cards()), Amount::plus);
     }
 
     @Override
@@ -129,10 +166,10 @@
             jobChanged(key.substring(Keys.JOBS.length()), value);
         } else if (key.startsWith(Keys.MACHINES)) {
             String name = key.substring(Keys.MACHINES.length());
-            if (value == null) {
-                machines.remove(name);
-            } else {
-                machines.put(name, MachineRecord.parse(name, value));
+            batchChanged(name, value == null ? null : MachineBatch.parse(name, value));
+        } else if (key.startsWith(Keys.HEARD)) {
+            if (value != null) {
+                heard(Heard.parse(value));
             }
         } else if (key.startsWith(Keys.BOOKINGS)) {
             String name = key.substring(Keys.BOOKINGS.length());
@@ -141,6 +178,12 @@
             } else {
                 bookings.put(name, Booking.parse(name, value));
             }
+        } else if (key.startsWith(Keys.TEAMS)) {
+            if (value == null) {
+                quotas.remove(key);
+            } else {
+                quotas.put(key, Quota.parse(value));
+            }
         } else if (key.startsWith(Keys.MEMBERS)) {
             observer.memberChanged(key.substring(Keys.MEMBERS.length()), value, stamp);
         } else if (key.equals(Keys.VIEW)) {
@@ -150,6 +193,68 @@
             for (MachineType t : MachineType.parseAll(value)) {
                 types.put(t.name(), t);
             }
+            machines.keySet().forEach(observer::machineChanged);
+        }
+    }
+
+    private void batchChanged(String name, MachineBatch after) {
+        MachineBatch before = after == null ? batches.remove(name) : batches.put(name, after);
+        Set<String> touched = new TreeSet<>();
+        if (before != null) {
+            for (String m : before.machines().keySet()) {
+                touched.add(m);
+                Set<String> of = batchesOf.get(m);
+                of.remove(name);
+                if (of.isEmpty()) {
+                    batchesOf.remove(m);
+                }
+            }
+        }
+        if (after != null) {
+            for (String m : after.machines().keySet()) {
+                touched.add(m);
+                batchesOf.computeIfAbsent(m, k -> new TreeSet<>()).add(name);
+            }
+        }
+        touched.forEach(this::compose);
+    }
+
+    private void heard(Heard h) {
+        h.machines().forEach((machine, status) -> {
+            Said before = said.get(machine);
+            if (before == null || !before.at.isAfter(h.at())) {
+                Instant since = before != null && before.status.condition() == status.condition() ? before.since : h.at();
+                said.put(machine, new Said(status, h.at(), since));
+                compose(machine);
+            }
+        });
+    }
+
+    /** Puts together what batches and owners say of a machine. One that is in two batches is to go if either says so. */
+    private void compose(String machine) {
+        Set<String> of = batchesOf.get(machine);
+        MachineRecord after = null;
+        if (of == null) {
+            said.remove(machine);
+        } else {
+            MachineBatch b = batches.get(of.iterator().next());
+            MachineBatch.Service service = MachineBatch.Service.IN_SERVICE;
+            for (String name : of) {
+                MachineBatch.Service s = batches.get(name).machines().get(machine);
+                service = s.compareTo(service) > 0 ? s : service;
+            }
+            Said s = said.get(machine);
+            Condition c = switch (service) {
+                case RETIRING -> Condition.RETIRING;
+                case RETURNING -> Condition.RETURNING;
+                case IN_SERVICE -> s == null ? Condition.BOOTING : s.status.condition();
+            };
+            after = new MachineRecord(machine, b.type(), b.zone(), b.spot(), c, s == null ? b.since() : s.since,
+                    s == null ? List.of() : s.status.images());
+        }
+        MachineRecord before = after == null ? machines.remove(machine) : machines.put(machine, after);
+        if (!Objects.equals(before, after)) {
+            observer.machineChanged(machine);
         }
     }
 
@@ -158,7 +263,7 @@
         if (value == null) {
             jobs.remove(id);
             if (before != null) {
-                before.claims().forEach(this::unindex);
+                before.claims().forEach(c -> unindex(c, before.spec()));
                 for (int i = 0; i < before.chunkCount(); i++) {
                     if (before.stored(i) != null) {
                         orphans.put(id + "/" + i, new JsonObject());
@@ -169,10 +274,11 @@
         }
         Job job = Job.parse(value);
         jobs.put(id, job);
-        for (int i = 0; i < job.chunkCount(); i++) {
-            if (before != null) {
+        if (before != null) {
+            for (int i = 0; i < job.chunkCount(); i++) {
                 job.replace(i, before.stored(i));
             }
+            before.claims().forEach(c -> observer.machineChanged(c.machine()));
         }
         if (!orphans.isEmpty()) {
             for (String path : List.copyOf(orphans.keySet())) {
@@ -196,21 +302,27 @@
         }
         int index = Integer.parseInt(path.substring(slash + 1));
         Chunk before = job.stored(index);
+        Chunk after = value == null ? null : job.fresh(index).read(value);
         if (before != null) {
-            before.claims().forEach(this::unindex);
-        }
-        if (value == null) {
-            job.replace(index, null);
-            return;
+            for (Claim c : before.claims()) {
+                if (after == null || !c.equals(after.claim(c.task().index()))) {
+                    unindex(c, job.spec());
+                }
+            }
         }
-        Chunk chunk = job.fresh(index).read(value);
-        job.replace(index, chunk);
-        for (Claim c : chunk.claims()) {
-            claims.computeIfAbsent(c.machine(), m -> new TreeMap<>()).put(c.task(), c);
+        job.replace(index, after);
+        if (after != null) {
+            for (Claim c : after.claims()) {
+                if (before == null || !c.equals(before.claim(c.task().index()))) {
+                    claims.computeIfAbsent(c.machine(), m -> new TreeMap<>()).put(c.task(), c);
+                    charge(c, job.spec(), 1);
+                    observer.machineChanged(c.machine());
+                }
+            }
         }
     }
 
-    private void unindex(Claim c) {
+    private void unindex(Claim c, JobSpec spec) {
         Map<TaskId, Claim> on = claims.get(c.machine());
         if (on != null) {
             on.remove(c.task(), c);
@@ -218,6 +330,8 @@
                 claims.remove(c.machine());
             }
         }
+        charge(c, spec, -1);
+        observer.machineChanged(c.machine());
     }
 
     @Override
@@ -229,22 +343,4 @@
     public void settled() {
         observer.settled();
     }
-
-    /** The middle of a job's phase, or null while there are none. */
-    public static Duration median(Job job, boolean fetch) {
-        IntArrayList all = new IntArrayList();
-        for (int i = 0; i < job.chunkCount(); i++) {
-            Chunk c = job.stored(i);
-            if (c != null) {
-                all.addAll(fetch ? c.fetches() : c.runs());
-            }
-        }
-        if (all.isEmpty()) {
-            return null;
-        }
-        all.sort(null);
-        int n = all.size();
-        double middle = n % 2 == 1 ? all.getInt(n / 2) : (all.getInt(n / 2 - 1) + all.getInt(n / 2)) / 2.0;
-        return Duration.ofMillis((long) (middle * 100));
-    }
 }
--- /dev/null
+++ b/src/main/java/org/havenford/bookkeeping/MachineBatch.java
@@ -0,0 +1,62 @@
+package org.havenford.bookkeeping;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.havenford.protocol.Json;
+
+/**
+ * Machines that were rented or found together, under one key. It says no more than that they are there, and which of them
+ * are to go; so hundreds can come and go with a few changes, and claims can be guarded by the key.
+ */
+public record MachineBatch(String name, String type, String zone, boolean spot, Instant since, TreeMap<String, Service> machines) {
+    /** Most machines in one batch. */
+    public static final int MOST = 50;
+
+    public enum Service {
+        IN_SERVICE, RETIRING, RETURNING
+    }
+
+    public static MachineBatch of(String name, String type, String zone, boolean spot, Instant since, Collection<String> machines) {
+        TreeMap<String, Service> all = new TreeMap<>();
+        machines.forEach(m -> all.put(m, Service.IN_SERVICE));
+        return new MachineBatch(name, type, zone, spot, since, all);
+    }
+
+    public MachineBatch with(String machine, Service service) {
+        TreeMap<String, Service> next = new TreeMap<>(machines);
+        next.put(machine, service);
+        return new MachineBatch(name, type, zone, spot, since, next);
+    }
+
+    public MachineBatch without(Collection<String> gone) {
+        TreeMap<String, Service> next = new TreeMap<>(machines);
+        next.keySet().removeAll(gone);
+        return new MachineBatch(name, type, zone, spot, since, next);
+    }
+
+    public JsonObject toJson() {
+        JsonObject o = new JsonObject();
+        o.addProperty("t", type);
+        o.addProperty("z", zone);
+        o.addProperty("b", spot);
+        o.addProperty("at", since.toEpochMilli());
+        JsonObject all = new JsonObject();
+        machines.forEach((m, s) -> all.addProperty(m, s.name().toLowerCase(Locale.ROOT)));
+        o.add("m", all);
+        return o;
+    }
+
+    public static MachineBatch parse(String name, JsonObject o) throws Json.BadMessage {
+        TreeMap<String, Service> all = new TreeMap<>();
+        for (Map.Entry<String, JsonElement> e : Json.child(o, "m").entrySet()) {
+            all.put(e.getKey(), Service.valueOf(e.getValue().getAsString().toUpperCase(Locale.ROOT)));
+        }
+        return new MachineBatch(name, Json.text(o, "t"), Json.text(o, "z"), Json.flagOr(o, "b", false),
+                Instant.ofEpochMilli(Json.count(o, "at")), all);
+    }
+}
--- a/src/main/java/org/havenford/bookkeeping/Mirror.java
+++ b/src/main/java/org/havenford/bookkeeping/Mirror.java
@@ -18,7 +18,8 @@
 public final class Mirror {
     private static final Logger LOG = LoggerFactory.getLogger(Mirror.class);
     private static final Duration BLOCK = Duration.ofSeconds(8);
-    private static final Duration GAP = Duration.ofMillis(25);
+    /** Part of this controller's requests that go to reopening the watch. */
+    private static final double WATCHING = 0.25;
 
     public interface Listener {
         /** {@code value} is null when the key is gone. */
@@ -55,6 +56,11 @@
         return loaded;
     }
 
+    /** Everything up to here has been told; our own transactions may have been told earlier than that. */
+    public long edition() {
+        return edition;
+    }
+
     public long stamp(String key) {
         return Math.max(0, stamps.getLong(key));
     }
@@ -134,7 +140,7 @@
                 if (any) {
                     listener.settled();
                 }
-                loop.after(GAP, this::watch);
+                loop.after(gap(), this::watch);
             } catch (Json.BadMessage e) {
                 LOG.warn("state service: changes could not be read: {}", e.getMessage());
                 loop.after(Duration.ofMillis(500), this::watch);
@@ -142,6 +148,11 @@
         });
     }
 
+    /** A watch returns with each change, and each opening is a request: changes are gathered for as long as it takes. */
+    private Duration gap() {
+        return Duration.ofMillis((long) Math.max(20, Math.min(500, 1000 / (WATCHING * store.evenRequestRate()))));
+    }
+
     private void forgetTombstones() {
         ObjectIterator<it.unimi.dsi.fastutil.objects.Object2LongMap.Entry<String>> it = stamps.object2LongEntrySet().iterator();
         while (it.hasNext()) {
--- a/src/main/java/org/havenford/bookkeeping/StateStore.java
+++ b/src/main/java/org/havenford/bookkeeping/StateStore.java
@@ -16,16 +16,31 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Calls to the state service. Calls wait in three queues (leases first, users last) for their share of the service's
- * limits; one that has waited too long fails as not executed.
+ * Calls to the state service. Leases and watches go out at once; the rest waits for this controller's share of the
+ * service's limits, users before work, and what can wait for good only while nothing else does. A call that has waited
+ * too long fails as not executed. The share starts even and follows what the service takes: it grows slowly while it is
+ * used up, and shrinks when the service refuses a call.
  */
 public final class StateStore {
     private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_QUEUED = 400;
+    /** Part of the service's limits that the controllers use together when each keeps to its even share. */
+    private static final double SAFETY = 0.92;
+    private static final Duration ADJUST_EVERY = Duration.ofSeconds(1);
+    private static final Duration QUIET = Duration.ofSeconds(2);
 
     public enum Urgency {
-        LEASE, WORK, USER
+        /** Leases, and the view that depends on them. */
+        LEASE,
+        /** The watch, whose rate its owner limits. */
+        WATCH,
+        /** What somebody waits for. */
+        USER,
+        /** Claims, releases, records. */
+        WORK,
+        /** Hints that nothing depends on. */
+        SPARE
     }
 
     /** NOT_EXECUTED can't happen any more; UNKNOWN may have happened or may yet. */
@@ -112,7 +127,7 @@
         }
     }
 
-    private record Pending(Instant until, String method, String path, String body, int writes, Duration timeout,
+    private record Pending(Urgency urgency, Instant until, String method, String path, String body, int writes, Duration timeout,
             Consumer<Result> done) {
     }
 
@@ -124,9 +139,19 @@
     private final double rps;
     private final double writeRps;
     private final List<ArrayDeque<Pending>> queues = new ArrayList<>();
+    private final long[] sent = new long[Urgency.values().length];
     private boolean pumping;
+    private int sharers;
+    /** Our share of the limits, in even shares. */
+    private double shares = 1;
+    private boolean usedUp;
+    private Instant lastRefusal = Instant.MIN;
+    private Instant adjusted;
+    private long changed;
+    private long conflicts;
+    private long refused;
+    private long givenUp;
     private Instant holdOff = Instant.MIN;
-    private Instant lastAnswer = Instant.MIN;
 
     public StateStore(EventLoop loop, HttpCalls calls, String address, double rps, double writeRps, int sharers) {
         this.loop = loop;
@@ -136,6 +161,7 @@
         this.writeRps = writeRps;
         this.requests = new TokenBucket(rps, 0.5, loop.now());
         this.changes = new TokenBucket(writeRps, 0.8, loop.now());
+        this.adjusted = loop.now();
         share(sharers);
         for (int i = 0; i < Urgency.values().length; i++) {
             queues.add(new ArrayDeque<>());
@@ -143,14 +169,73 @@
     }
 
     /** Divides the service's limits among the controllers that are alive. */
-    public void share(int sharers) {
-        requests.rate(rps * 0.92 / Math.max(1, sharers));
-        changes.rate(writeRps * 0.92 / Math.max(1, sharers));
+    public void share(int among) {
+        sharers = Math.max(1, among);
+        shares = Math.min(shares, sharers);
+        applyShare();
     }
 
-    /** When the service last answered anything but an error. */
-    public Instant lastAnswer() {
-        return lastAnswer;
+    private void applyShare() {
+        requests.rate(rps * SAFETY * shares / sharers);
+        changes.rate(writeRps * SAFETY * shares / sharers);
+    }
+
+    /** A refused call was not executed, so trying for more than the even share costs no more than that call. */
+    private void adjust(Instant now) {
+        Duration since = Duration.between(adjusted, now);
+        if (since.compareTo(ADJUST_EVERY) < 0) {
+            return;
+        }
+        adjusted = now;
+        boolean quiet = now.isAfter(lastRefusal.plus(QUIET));
+        double before = shares;
+        if (usedUp && quiet) {
+            shares = Math.min(Math.max(1, sharers * 0.9), shares * 1.15);
+        } else if (!usedUp) {
+            shares = Math.max(1, shares * 0.97);
+        }
+        usedUp = false;
+        if (shares != before) {
+            applyShare();
+        }
+    }
+
+    private void wasRefused() {
+        Instant now = loop.now();
+        refused++;
+        holdOff = now.plusMillis(100);
+        if (now.isAfter(lastRefusal.plus(ADJUST_EVERY))) {
+            shares = Math.max(0.7, shares * 0.75);
+            applyShare();
+        }
+        lastRefusal = now;
+    }
+
+    /** Requests and changes of one controller that leave the others theirs, a second. */
+    public double evenRequestRate() {
+        return rps * SAFETY / sharers;
+    }
+
+    /** Whether work waits for the service's limits. */
+    public boolean pressed() {
+        return queued(Urgency.WORK) > 2 || !changes.has(2, loop.now());
+    }
+
+    /** What was asked since the last call, for the log. */
+    public String tally() {
+        StringBuilder text = new StringBuilder("requests");
+        for (Urgency u : Urgency.values()) {
+            text.append(' ').append(u.name().toLowerCase(java.util.Locale.ROOT)).append(' ').append(sent[u.ordinal()]);
+            sent[u.ordinal()] = 0;
+        }
+        text.append(", changes ").append(changed).append(", conflicts ").append(conflicts).append(", refused ")
+                .append(refused).append(", given up ").append(givenUp).append(", waiting ").append(queued(Urgency.WORK))
+                .append(String.format(java.util.Locale.ROOT, ", share %.2f", shares));
+        changed = 0;
+        conflicts = 0;
+        refused = 0;
+        givenUp = 0;
+        return text.toString();
     }
 
     public int queued(Urgency urgency) {
@@ -162,7 +247,7 @@
     }
 
     public void list(String prefix, String after, Consumer<Result> done) {
-        submit(Urgency.WORK, "GET", "/store?prefix=" + prefix + (after == null ? "" : "&since=" + after) + "&limit=500",
+        submit(Urgency.WATCH, "GET", "/store?prefix=" + prefix + (after == null ? "" : "&since=" + after) + "&limit=500",
                 null, 0, Duration.ofSeconds(4), done);
     }
 
@@ -171,7 +256,7 @@
     }
 
     public void watch(String prefix, long since, Duration block, Consumer<Result> done) {
-        submit(Urgency.WORK, "GET", "/changes?prefix=" + prefix + "&since=" + since + "&blockMs=" + block.toMillis(),
+        submit(Urgency.WATCH, "GET", "/changes?prefix=" + prefix + "&since=" + since + "&blockMs=" + block.toMillis(),
                 null, 0, block.plusSeconds(5), done);
     }
 
@@ -191,7 +276,7 @@
             return;
         }
         Duration patience = urgency == Urgency.USER ? Duration.ofMillis(1500) : Duration.ofSeconds(5);
-        queue.add(new Pending(loop.now().plus(patience), method, path, body, writes, timeout, done));
+        queue.add(new Pending(urgency, loop.now().plus(patience), method, path, body, writes, timeout, done));
         if (!pumping) {
             pump();
         }
@@ -200,22 +285,22 @@
     private void pump() {
         pumping = false;
         Instant now = loop.now();
+        adjust(now);
+        boolean waits = false;
         for (Urgency u : Urgency.values()) {
             ArrayDeque<Pending> queue = queues.get(u.ordinal());
             while (!queue.isEmpty()) {
                 Pending p = queue.peek();
                 if (now.isAfter(p.until)) {
                     queue.poll();
+                    givenUp++;
                     p.done.accept(new Result(Outcome.NOT_EXECUTED, null));
                     continue;
                 }
-                // A renewal never waits for the budget: losing the lease costs far more than one refused call.
-                boolean may = u == Urgency.LEASE || !now.isBefore(holdOff) && requests.has(1, now)
-                        && (p.writes == 0 || changes.has(p.writes, now));
-                if (!may) {
-                    pumping = true;
-                    loop.after(Duration.ofMillis(10), this::pump);
-                    return;
+                if (!may(p, now, waits)) {
+                    waits = true;
+                    usedUp |= u != Urgency.SPARE;
+                    break;
                 }
                 queue.poll();
                 requests.take(1);
@@ -223,13 +308,44 @@
                 send(p);
             }
         }
+        if (waits && !pumping) {
+            pumping = true;
+            loop.after(Duration.ofMillis(10), this::pump);
+        }
+    }
+
+    /** A renewal never waits for the budget: losing the lease costs far more than one refused call. */
+    private boolean may(Pending p, Instant now, boolean othersWait) {
+        if (p.urgency == Urgency.LEASE || p.urgency == Urgency.WATCH) {
+            return true;
+        }
+        if (othersWait || now.isBefore(holdOff)) {
+            return false;
+        }
+        double spare = p.urgency == Urgency.SPARE ? 0.5 : 0;
+        return requests.has(1 + requests.size() * spare, now)
+                && (p.writes == 0 || changes.has(p.writes + changes.size() * spare, now));
     }
 
     private void send(Pending p) {
+        sent[p.urgency.ordinal()]++;
+        changed += p.writes;
         calls.call(address, p.method, p.path, p.body, p.timeout, reply -> {
             Result result = interpret(reply, p);
-            if (result.outcome == Outcome.OK || result.outcome == Outcome.CONFLICT || result.outcome == Outcome.ABSENT) {
-                lastAnswer = loop.now();
+            if (reply.status() == 429) {
+                // Not executed: it goes again while its time lasts, before anything that came after it.
+                wasRefused();
+                if (!loop.now().isAfter(p.until)) {
+                    queues.get(p.urgency.ordinal()).addFirst(p);
+                    if (!pumping) {
+                        pumping = true;
+                        loop.after(Duration.ofMillis(20), this::pump);
+                    }
+                    return;
+                }
+            }
+            if (result.outcome == Outcome.CONFLICT) {
+                conflicts++;
             }
             p.done.accept(result);
         });
@@ -253,7 +369,6 @@
             case 409:
                 return new Result(Outcome.CONFLICT, body);
             case 429:
-                holdOff = loop.now().plusMillis(150);
                 return new Result(Outcome.NOT_EXECUTED, body);
             case 503, HttpCalls.NOT_SENT:
                 return new Result(Outcome.NOT_EXECUTED, body);
--- a/src/main/java/org/havenford/bookkeeping/TokenBucket.java
+++ b/src/main/java/org/havenford/bookkeeping/TokenBucket.java
@@ -21,15 +21,20 @@
         rate = newRate;
     }
 
+    /** The most that the bucket holds. */
+    public double size() {
+        return Math.max(1, rate * burstSeconds);
+    }
+
     private void refill(Instant now) {
-        tokens = Math.min(Math.max(1, rate * burstSeconds), tokens + Duration.between(last, now).toNanos() / 1e9 * rate);
+        tokens = Math.min(size(), tokens + Duration.between(last, now).toNanos() / 1e9 * rate);
         last = now;
     }
 
     /** Whether {@code n} can be taken; a need larger than the whole bucket is met once the bucket is full. */
     public boolean has(double n, Instant now) {
         refill(now);
-        return tokens >= Math.min(n, Math.max(1, rate * burstSeconds)) - 1e-9;
+        return tokens >= Math.min(n, size()) - 1e-9;
     }
 
     public void take(double n) {
--- a/src/main/java/org/havenford/coordination/Controller.java
+++ b/src/main/java/org/havenford/coordination/Controller.java
@@ -26,6 +26,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final Duration TICK = Duration.ofMillis(250);
     private static final Duration GATHER = Duration.ofMillis(4);
+    private static final Duration BETWEEN_ROUNDS = Duration.ofMillis(25);
     /** Time for a worker to hear of a cancellation, and for clocks that differ. */
     private static final Duration CANCEL_MARGIN = Duration.ofSeconds(6);
     private static final Duration TALLY = Duration.ofSeconds(60);
@@ -42,6 +43,7 @@
     private final Histogram answerMicros = new Histogram(60_000_000L, 2);
     private final Histogram lagMicros = new Histogram(60_000_000L, 2);
     private boolean roundDue;
+    private Instant restUntil = Instant.MIN;
     private Instant nextTally;
     private Instant lastComplaint = Instant.MIN;
 
@@ -50,8 +52,8 @@
         store = new StateStore(loop, calls, settings.stateAddress(), settings.stateRps(), settings.stateWriteRps(),
                 settings.peers().size() + 1);
         mirror = new Mirror(loop, store, Keys.MIRRORED, ledger);
-        membership = new Membership(loop, store, mirror, settings.node(), membershipLife(settings, operator), this::viewChanged);
-        fleet = new Fleet(loop, calls, settings, operator, ledger, mirror, store, membership, this::wake);
+        membership = new Membership(loop, store, mirror, settings.node(), membershipLife(settings, operator), this::viewChanged, this::ownedBy);
+        fleet = new Fleet(loop, calls, settings, operator, ledger, mirror, store, membership, this::endsChanged, this::wake);
         scheduler = new Scheduler(loop, settings, operator, ledger, mirror, store, membership, fleet, this::wake);
         provisioner = new Provisioner(loop, calls, settings, operator, ledger, mirror, store, membership, this::wake);
         users = new Users(loop, settings, ledger, mirror, store, this::wake);
@@ -66,6 +68,12 @@
                 membership.memberChanged(node, member, stamp);
             }
 
+            @Override
+            public void machineChanged(String machine) {
+                fleet.machineChanged(machine);
+                scheduler.machineChanged(machine);
+            }
+
             @Override
             public void settled() {
                 wake();
@@ -97,6 +105,15 @@
 
     private void viewChanged() {
         fleet.viewChanged();
+        scheduler.allChanged();
+    }
+
+    private void endsChanged(String machine) {
+        scheduler.machineChanged(machine);
+    }
+
+    private int ownedBy(String node) {
+        return fleet.ownedBy(node);
     }
 
     private void tick() {
@@ -110,11 +127,12 @@
         });
     }
 
-    /** Asks for a round soon; what comes in together is decided together. */
+    /** Asks for a round soon; what comes in together is decided together, and rounds leave most of the time to answers. */
     private void wake() {
         if (!roundDue) {
             roundDue = true;
-            loop.after(GATHER, () -> {
+            Duration rest = Duration.between(loop.now(), restUntil);
+            loop.after(rest.compareTo(GATHER) > 0 ? rest : GATHER, () -> {
                 if (roundDue) {
                     round();
                 }
@@ -124,10 +142,13 @@
 
     private void round() {
         roundDue = false;
+        Instant start = loop.now();
         membership.step();
         fleet.step();
         scheduler.step();
-        fleet.pushAll();
+        fleet.pushChanged();
+        Instant end = loop.now();
+        restUntil = end.plus(Duration.between(start, end).multipliedBy(4)).plus(BETWEEN_ROUNDS);
     }
 
     private void tally() {
@@ -142,6 +163,7 @@
                 answerMicros.getValueAtPercentile(99), lagMicros.getValueAtPercentile(99), fleet.lateFired(),
                 ledger.jobs().size(), ledger.machines().size(),
                 (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
+        LOG.info("store: {}", store.tally());
         rounds.reset();
         answerMicros.reset();
         lagMicros.reset();
--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -56,7 +56,7 @@
             double left = s.tasks() - j.doneCount();
             double tasks = left;
             if (patient) {
-                Duration median = Ledger.median(j, false);
+                Duration median = j.medianRun();
                 double run = Math.max(1, (median == null ? s.guess() : median).toMillis() / 1e3);
                 double time = j.due() == null ? 0 : Duration.between(timeOfDay, j.due()).toMillis() / 1e3 - fetch(s, ledger);
                 if (time >= run) {
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -1,17 +1,23 @@
 package org.havenford.coordination;
 
+import com.google.common.collect.Lists;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.havenford.bookkeeping.Claim;
+import org.havenford.bookkeeping.Heard;
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.MachineBatch;
 import org.havenford.bookkeeping.MachineRecord;
 import org.havenford.bookkeeping.MachineRecord.Condition;
 import org.havenford.bookkeeping.Mirror;
@@ -37,6 +43,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private static final int MAX_COMMANDS = 200;
     private static final int MAX_DIRECT = 40;
+    private static final Duration SWEEP = Duration.ofMillis(500);
+    private static final Duration TELL_EVERY = Duration.ofSeconds(2);
+    private static final Duration TELL_IMAGES_EVERY = Duration.ofSeconds(8);
+    private static final Duration RENTALS_ANSWERED = Duration.ofSeconds(5);
+    private static final int PROBES = 3;
+    private static final Duration GATHER = Duration.ofMillis(150);
+    private static final Duration SEARCHING = Duration.ofSeconds(10);
+    private static final int MOST_UNANSWERED = 2;
     private static final Duration LEASE_MARGIN = Duration.ofMillis(1500);
 
     /** How an attempt ended. Seconds are negative where they were not seen. */
@@ -56,16 +70,31 @@
     private final Membership membership;
     private final Runnable wake;
     private final Object2ObjectOpenHashMap<String, MachineState> machines = new Object2ObjectOpenHashMap<>();
-    private final Map<TaskId, Ending> endings = new TreeMap<>();
+    /** By claim, not by task: an end must never be taken for that of a later attempt. */
+    private final Map<Claim, Ending> endings = new LinkedHashMap<>();
     /** Machines that keep coming here although another node owns them: first seen, number of times. */
     private final Object2ObjectOpenHashMap<String, Instant[]> strays = new Object2ObjectOpenHashMap<>();
     private final Object2ObjectOpenHashMap<String, Double> imageGb = new Object2ObjectOpenHashMap<>();
+    /** Machines to be looked at in the next round; the sweep looks at all. */
+    private final Set<String> changed = new LinkedHashSet<>();
+    /** Machines in no record that are about to be written. */
+    private final Set<String> adopting = new LinkedHashSet<>();
+    private long batches;
+    private int parts = 1;
+    private final List<Told> told = new ArrayList<>();
+    /** Workers that were ours when this node was put to rest. */
+    private final List<String> probed = new ArrayList<>();
+    private final Consumer<String> endsChanged;
+    private Instant nextSweep = Instant.MIN;
+    private Instant nextProbe = Instant.MIN;
+    private int probesAnswered;
     private View known = View.empty();
     private boolean knownAtAll;
     private long lateFired;
 
     public Fleet(EventLoop loop, HttpCalls calls, Settings settings, Operator operator, Ledger ledger, Mirror mirror,
-            StateStore store, Membership membership, Runnable wake) {
+            StateStore store, Membership membership, Consumer<String> endsChanged, Runnable wake) {
+        this.endsChanged = endsChanged;
         this.loop = loop;
         this.calls = calls;
         this.settings = settings;
@@ -78,19 +107,36 @@
     }
 
     private boolean mine(String machine) {
-        return settings.node().equals(membership.view().owner(machine));
+        return settings.node().equals(membership.owner(machine));
     }
 
-    public Collection<MachineState> states() {
-        return machines.values();
+    /** How many of the machines on record a node owns. */
+    public int ownedBy(String node) {
+        int n = 0;
+        for (MachineRecord r : ledger.machines()) {
+            if (node.equals(membership.owner(r.name()))) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    /** The record, the claims or what is wanted of them on a machine have changed. */
+    public void machineChanged(String machine) {
+        changed.add(machine);
     }
 
     public MachineState state(String machine) {
         return machines.get(machine);
     }
 
+    private boolean holds(Claim c) {
+        Job j = ledger.job(c.task().job());
+        return j != null && c.equals(j.claim(c.task().index()));
+    }
+
     /** Attempts that ended and whose claims are still in the store. */
-    public Map<TaskId, Ending> endings() {
+    public Map<Claim, Ending> endings() {
         return endings;
     }
 
@@ -99,12 +145,18 @@
     /** After each change of the view: forgets machines that went elsewhere, takes up those that came. */
     public void viewChanged() {
         View view = membership.view();
+        if (!view.resting().contains(settings.node()) || !known.resting().contains(settings.node())) {
+            probed.clear();
+        }
         for (String name : List.copyOf(machines.keySet())) {
             MachineState m = machines.get(name);
-            boolean keeps = mine(name) && settings.node().equals(known.owner(name))
-                    && view.members().get(settings.node()).equals(known.members().get(settings.node()));
+            // It was ours in the view before, or it would not be here.
+            boolean keeps = mine(name) && view.members().get(settings.node()).equals(known.members().get(settings.node()));
             if (!mine(name)) {
                 machines.remove(name);
+                if (m.report != null && probed.size() < PROBES) {
+                    probed.add(m.report.endpoint());
+                }
             } else if (!keeps) {
                 machines.put(name, takeOver(name));
             } else {
@@ -113,11 +165,7 @@
                 m.ranDirectly = false;
             }
         }
-        endings.keySet().removeIf(t -> {
-            Job j = ledger.job(t.job());
-            Claim c = j == null ? null : j.claim(t.index());
-            return c == null || !mine(c.machine());
-        });
+        endings.keySet().removeIf(c -> !holds(c) || !mine(c.machine()));
         // Machines that are new to us: made with the view before this one still at hand.
         for (MachineRecord r : ledger.machines()) {
             if (mine(r.name()) && !machines.containsKey(r.name())) {
@@ -131,6 +179,8 @@
         }
         known = view;
         knownAtAll = true;
+        probesAnswered = 0;
+        nextSweep = Instant.MIN;
     }
 
     private MachineState takeOver(String name) {
@@ -142,6 +192,11 @@
         boolean gone = knownAtAll && before != null && !membership.isMember(before, incarnation);
         MachineState m = new MachineState(name, gone ? loop.now() : loop.now().plus(membership.life()));
         m.epoch = membership.view().epoch();
+        MachineRecord r = ledger.machine(name);
+        if (r != null && r.condition() == Condition.SILENT) {
+            // Its worker may be one that hears nobody: a report alone does not show the contrary.
+            m.unanswered = MOST_UNANSWERED;
+        }
         return m;
     }
 
@@ -161,12 +216,21 @@
         }
         if (!mine(r.machine())) {
             stray(r.machine());
-            return new Answer(421, "{\"director\":\"" + membership.view().owner(r.machine()) + "\"}");
+            return new Answer(421, "{\"director\":\"" + membership.owner(r.machine()) + "\"}");
         }
         strays.remove(r.machine());
         MachineState m = owned(r.machine());
+        if (r.session() < m.checkinSession || r.session() == m.checkinSession && r.seq() <= m.checkinSeq) {
+            // A copy that comes late. Its worker waits for no answer; counted as a renewal, it would put off the moment
+            // at which a machine that is gone gives its tasks back. An answer to /do may well have overtaken a report
+            // that is still waited for: so only reports are compared.
+            return new Answer(503, "{\"error\":\"a later report has been here\"}");
+        }
+        m.checkinSession = r.session();
+        m.checkinSeq = r.seq();
         List<Command> commands = List.of();
         if (r.newerThan(m.report)) {
+            countAnswered(m, r);
             take(m, r, true);
             commands = commands(m, MAX_COMMANDS);
         }
@@ -177,21 +241,35 @@
         return new Answer(200, body);
     }
 
+    /**
+     * A worker that gets our answer stays here. One that reports elsewhere before each report here, or whose lease runs
+     * out although we answer, does not get it: its machine takes no new work until it does.
+     */
+    private void countAnswered(MachineState m, Report r) {
+        Report before = m.report;
+        if (before != null) {
+            boolean elsewhere = r.session() > before.session() || r.seq() > before.seq() + 1 + m.directAnswers;
+            m.unanswered = elsewhere ? m.unanswered + 1 : 0;
+        }
+        m.directAnswers = 0;
+    }
+
     private static Instant later(Instant a, Instant b) {
         return a.isAfter(b) ? a : b;
     }
 
     private void stray(String machine) {
         // A worker that is sent to its owner and comes back has not reached it. Moving the machine costs an epoch, so
-        // it is asked for only after several rounds.
+        // it is asked for only after several rounds; by then an owner that many don't reach has been put to rest.
         Instant now = loop.now();
+        membership.strayed(machine, membership.owner(machine));
         Instant[] seen = strays.get(machine);
         if (seen == null || now.isAfter(seen[1].plusSeconds(15))) {
             strays.put(machine, new Instant[] {now, now, null});
             return;
         }
         seen[1] = now;
-        if (now.isAfter(seen[0].plusSeconds(6))) {
+        if (now.isAfter(seen[0].plus(settings.workerLease().dividedBy(3)))) {
             membership.wantMove(machine);
             strays.remove(machine);
         }
@@ -207,6 +285,7 @@
         if (before != null && r.session() > before.session()) {
             m.attempts.clear();
         }
+        changed.add(m.name);
         MachineRecord record = ledger.machine(r.machine());
         for (Claim c : List.copyOf(ledger.claimsOn(m.name).values())) {
             if (c.session() < r.session()) {
@@ -224,6 +303,8 @@
         }
         if (record == null) {
             adopt(m, r);
+        } else {
+            judge(m, record, loop.now());
         }
     }
 
@@ -266,7 +347,7 @@
                         a.fetchSeconds = a.fetchFrom == null ? 0 : Duration.between(a.fetchFrom, now).toMillis() / 1e3;
                     }
                 }
-                cacheImage(m, c);
+                cached(m, c);
             }
             case SAVING -> {
             }
@@ -283,6 +364,7 @@
     private void exited(MachineState m, Claim c, Attempt a, String why) {
         switch (why) {
             case "done" -> {
+                cached(m, c);
                 double run = a.sawRunStart && a.runFrom != null ? Duration.between(a.runFrom, loop.now()).toMillis() / 1e3 : -1;
                 m.failedJobs.clear();
                 end(c, new Ending(true, false, false, a.fetchSeconds, run));
@@ -307,18 +389,12 @@
     }
 
     private void end(Claim c, Ending ending) {
-        if (endings.putIfAbsent(c.task(), ending) == null) {
+        if (endings.putIfAbsent(c, ending) == null) {
+            endsChanged.accept(c.machine());
             LOG.debug("{} attempt {} on {} ended: {}", c.task(), c.attempt(), c.machine(), ending);
         }
     }
 
-    private void cacheImage(MachineState m, Claim c) {
-        Job j = ledger.job(c.task().job());
-        if (j != null) {
-            imageGb.put(j.spec().image(), (Double) j.spec().imageGb());
-        }
-    }
-
     // ---- commands
 
     private List<Command> commands(MachineState m, int most) {
@@ -363,7 +439,7 @@
         for (Claim c : claims.values()) {
             Attempt a = m.attempt(c.task(), c.attempt());
             if (c.session() == r.session() && !a.seen && a.stop == null && !cancelled(c)
-                    && !endings.containsKey(c.task()) && r.find(c.task(), c.attempt()) == null && out.size() < most) {
+                    && !endings.containsKey(c) && r.find(c.task(), c.attempt()) == null && out.size() < most) {
                 out.add(new Command(Command.Op.RUN, c.task(), c.attempt(), Duration.ZERO));
             }
         }
@@ -410,6 +486,7 @@
             if (reply.status() == 200 || reply.status() == 409) {
                 try {
                     Report r = Report.parse(Json.object(reply.body()));
+                    m.directAnswers++;
                     if (r.machine().equals(m.name) && r.newerThan(m.report)) {
                         take(m, r, false);
                     }
@@ -425,9 +502,18 @@
         });
     }
 
-    public void pushAll() {
-        for (MachineState m : machines.values()) {
-            push(m);
+    /** Sends what differs to the machines where something has changed. */
+    public void pushChanged() {
+        if (!membership.entitled()) {
+            return;
+        }
+        List<String> due = List.copyOf(changed);
+        changed.clear();
+        for (String name : due) {
+            MachineState m = machines.get(name);
+            if (m != null) {
+                push(m);
+            }
         }
     }
 
@@ -441,6 +527,7 @@
         if (a.seen && a.stop == null) {
             LOG.info("{} on {} is stopped for more urgent work", c.task(), c.machine());
             a.stop = StopReason.PREEMPTED;
+            changed.add(c.machine());
         }
     }
 
@@ -452,6 +539,11 @@
             return;
         }
         Instant now = loop.now();
+        probe(now);
+        if (now.isBefore(nextSweep)) {
+            return;
+        }
+        nextSweep = now.plus(SWEEP);
         for (MachineRecord r : ledger.machines()) {
             if (mine(r.name())) {
                 owned(r.name());
@@ -475,18 +567,34 @@
             if (r != null) {
                 checkLateness(m, now);
                 drain(m, now);
-                keepRecord(m, r, now);
+                judge(m, r, now);
+                changed.add(m.name);
             }
         }
+        tell(now);
         machines.values().removeIf(m -> ledger.machine(m.name) == null && ledger.claimsOn(m.name).isEmpty()
                 && Duration.between(later(m.renewed, m.heard.equals(Instant.MIN) ? m.renewed : m.heard), now).toMinutes() > 3);
-        endings.keySet().removeIf(t -> {
-            Job j = ledger.job(t.job());
-            return j == null || j.claim(t.index()) == null;
-        });
+        endings.keySet().removeIf(c -> !holds(c));
         strays.values().removeIf(s -> now.isAfter(s[1].plusSeconds(60)));
     }
 
+    /** While this node rests, it asks workers now and then whether it reaches them. */
+    private void probe(Instant now) {
+        if (!membership.view().resting().contains(settings.node()) || now.isBefore(nextProbe)) {
+            return;
+        }
+        nextProbe = now.plusSeconds(2);
+        for (String endpoint : probed) {
+            calls.call(endpoint, "GET", "/status", null, Duration.ofSeconds(1), reply -> {
+                if (reply.ok() && ++probesAnswered >= 2 * probed.size()) {
+                    membership.wantToWake();
+                } else if (!reply.ok()) {
+                    probesAnswered = 0;
+                }
+            });
+        }
+    }
+
     private Instant leaseEnd(MachineState m) {
         return m.renewed.plusNanos((long) (settings.workerLease().toNanos() * 1.002)).plus(LEASE_MARGIN);
     }
@@ -515,8 +623,8 @@
                     || j.stored(j.chunkOf(c.task().index())).wasLate(c.task().index())) {
                 continue;
             }
-            Duration fetch = Ledger.median(j, true);
-            Duration run = Ledger.median(j, false);
+            Duration fetch = j.medianFetch();
+            Duration run = j.medianRun();
             if (fetch == null || run == null) {
                 continue;
             }
@@ -527,6 +635,7 @@
                 LOG.info("late: {} on {} has fetched for {} (medians {} and {}), p = {}", c.task(), m.name,
                         Duration.between(a.fetchFrom, now), fetch, run, p);
                 a.stop = StopReason.LATE;
+                changed.add(m.name);
             }
         }
     }
@@ -543,11 +652,12 @@
             if (a == null || a.number != c.attempt() || a.stop != null || j == null) {
                 continue;
             }
-            Duration run = Ledger.median(j, false);
+            Duration run = j.medianRun();
             Duration whole = run == null ? j.spec().guess() : run;
             Duration elapsed = a.runFrom == null ? Duration.ZERO : Duration.between(a.runFrom, now);
             if (whole.minus(elapsed).toMillis() > left.toMillis() * 1.3) {
                 a.stop = StopReason.DRAINED;
+                changed.add(m.name);
             }
         }
     }
@@ -558,76 +668,180 @@
 
     // ---- records
 
+    /** A machine that is in no record. One that was just rented will be, as soon as the rental has been answered. */
     private void adopt(MachineState m, Report r) {
-        if (m.recordInFlight) {
+        if (m.unknownSince == null) {
+            m.unknownSince = loop.now();
+        }
+        boolean rentalsOpen = !ledger.bookings().isEmpty() && loop.now().isBefore(m.unknownSince.plus(RENTALS_ANSWERED));
+        if (rentalsOpen || adopting.contains(m.name)) {
             return;
         }
         LOG.info("adopting {}, which reports and is in no record", m.name);
-        MachineRecord fresh = new MachineRecord(r.machine(), r.type(), r.zone(), r.spot(), r.endpoint(), Condition.UP,
-                r.session(), loop.timeOfDay(), List.of());
-        write(m, fresh, 0);
+        if (adopting.isEmpty()) {
+            // Many machines may be found at once; they are written together.
+            loop.after(GATHER, this::writeAdopted);
+        }
+        adopting.add(m.name);
     }
 
-    private void keepRecord(MachineState m, MachineRecord r, Instant now) {
-        if (m.recordInFlight) {
-            return;
-        }
-        MachineRecord wanted = r;
-        Condition c = r.condition();
-        if (m.report != null) {
-            List<String> images = imagesOf(m, r);
-            if (m.report.session() != r.session() || !m.report.endpoint().equals(r.endpoint()) || !images.equals(r.images())) {
-                wanted = wanted.reported(m.report.endpoint(), m.report.session(),
-                        m.report.session() > r.session() && r.session() > 0 ? r.images() : images);
+    private void writeAdopted() {
+        Map<String, List<Report>> alike = new TreeMap<>();
+        for (String name : adopting) {
+            MachineState m = machines.get(name);
+            if (m != null && m.report != null && ledger.machine(name) == null) {
+                Report r = m.report;
+                alike.computeIfAbsent(r.type() + "|" + r.zone() + "|" + r.spot(), k -> new ArrayList<>()).add(r);
             }
-            boolean fresh = Duration.between(m.heard, now).compareTo(settings.report().multipliedBy(2)) < 0;
-            if (fresh && (c == Condition.BOOTING || c == Condition.SILENT || c == Condition.UP)) {
-                c = m.failedJobs.size() >= 2 ? Condition.FAULTY : m.noticeUntil != null ? Condition.DRAINING : Condition.UP;
-            } else if (fresh && c == Condition.DRAINING && m.noticeUntil == null) {
-                c = Condition.UP;
+        }
+        adopting.clear();
+        for (List<Report> all : alike.values()) {
+            for (List<Report> part : Lists.partition(all, MachineBatch.MOST)) {
+                Report one = part.get(0);
+                String name = "a-" + settings.node() + "-" + membership.view().members().get(settings.node()) + "-" + ++batches;
+                MachineBatch batch = MachineBatch.of(name, one.type(), one.zone(), one.spot(), loop.timeOfDay(),
+                        part.stream().map(Report::machine).toList());
+                StateStore.Txn txn = new StateStore.Txn().guard(Keys.VIEW, membership.viewStamp())
+                        .guard(Keys.batch(name), 0).set(Keys.batch(name), batch.toJson());
+                store.commit(txn, StateStore.Urgency.WORK, r -> {
+                    if (r.ok()) {
+                        mirror.committed(txn, r.edition());
+                    }
+                });
             }
         }
+    }
+
+    /** How one of our machines is. */
+    private void judge(MachineState m, MachineRecord r, Instant now) {
+        Condition c = m.condition;
+        boolean fresh = m.report != null && Duration.between(m.heard, now).compareTo(settings.report().multipliedBy(2)) < 0;
         Instant lastSign = m.report == null ? m.renewed : m.heard;
-        if ((c == Condition.UP || c == Condition.DRAINING)
-                && Duration.between(lastSign, now).compareTo(settings.report().multipliedBy(5).dividedBy(2)) > 0) {
+        if (fresh) {
+            c = m.unanswered >= MOST_UNANSWERED ? Condition.SILENT
+                    : m.failedJobs.size() >= 2 || c == Condition.FAULTY ? Condition.FAULTY
+                    : m.noticeUntil != null ? Condition.DRAINING : Condition.UP;
+        } else if (m.report == null && r.condition().compareTo(Condition.RETIRING) < 0) {
+            // Not heard yet: what the owner before us said.
+            c = r.condition();
+        }
+        if ((c == Condition.UP || c == Condition.DRAINING) && Duration.between(lastSign, now).compareTo(silence(m)) > 0) {
             c = Condition.SILENT;
         }
-        wanted = wanted.with(c, loop.timeOfDay());
-        if (!wanted.equals(r)) {
-            write(m, wanted, mirror.stamp(Keys.machine(m.name)));
+        if (c != m.condition) {
+            m.condition = c;
+            endsChanged.accept(m.name);
         }
     }
 
-    private List<String> imagesOf(MachineState m, MachineRecord r) {
-        List<String> images = new ArrayList<>(r.images());
-        for (Claim c : ledger.claimsOn(m.name).values()) {
-            Attempt a = m.attempts.get(c.task());
-            Job j = ledger.job(c.task().job());
-            if (j != null && a != null && a.runFrom != null && a.number == c.attempt() && !images.contains(j.spec().image())) {
-                images.add(0, j.spec().image());
+    /** The condition of a machine: of our own we know it before it is on record. */
+    public Condition condition(MachineRecord r) {
+        MachineState m = r.condition().compareTo(Condition.RETIRING) >= 0 || !mine(r.name()) ? null : machines.get(r.name());
+        return m == null ? r.condition() : m.condition;
+    }
+
+    /** Tells the others how our machines are, some under each key, and only those keys where something has changed. */
+    private void tell(Instant now) {
+        List<MachineState> all = new ArrayList<>();
+        for (MachineState m : machines.values()) {
+            if (m.condition != Condition.BOOTING && ledger.machine(m.name) != null) {
+                all.add(m);
             }
         }
-        MachineType type = ledger.types().get(r.type());
-        double room = type == null ? 0 : type.cacheGb();
-        List<String> kept = new ArrayList<>();
-        for (String image : images) {
-            room -= imageGb.getOrDefault(image, (Double) 5.0);
-            if (room >= 0 && kept.size() < 20) {
-                kept.add(image);
+        // Parts only grow in number, so that few machines change their part.
+        parts = Math.max(parts, (all.size() + Heard.MOST * 3 / 4 - 1) / (Heard.MOST * 3 / 4));
+        List<TreeMap<String, Heard.Status>> split = new ArrayList<>();
+        for (int i = 0; i < parts; i++) {
+            split.add(new TreeMap<>());
+        }
+        for (MachineState m : all) {
+            int part = (m.name.hashCode() & Integer.MAX_VALUE) % parts;
+            for (int i = 0; i < parts && split.get(part).size() >= Heard.MOST; i++) {
+                part = (part + 1) % parts;
             }
+            split.get(part).put(m.name, new Heard.Status(m.condition, m.images == null ? ledger.machine(m.name).images() : m.images));
+        }
+        for (int i = 0; i < parts; i++) {
+            tell(i, split.get(i), now);
         }
-        return kept;
     }
 
-    private void write(MachineState m, MachineRecord wanted, long stamp) {
-        m.recordInFlight = true;
-        StateStore.Txn txn = new StateStore.Txn().guard(Keys.VIEW, membership.viewStamp())
-                .guard(Keys.machine(m.name), stamp).set(Keys.machine(m.name), wanted.toJson());
-        store.commit(txn, StateStore.Urgency.WORK, r -> {
-            m.recordInFlight = false;
+    private void tell(int part, TreeMap<String, Heard.Status> what, Instant now) {
+        while (told.size() <= part) {
+            told.add(new Told());
+        }
+        Told t = told.get(part);
+        if (t.inFlight || what.equals(t.machines)) {
+            return;
+        }
+        // A machine that is gone need not be told of: its record says so.
+        boolean conditions = t.machines == null || what.entrySet().stream().anyMatch(
+                e -> !t.machines.containsKey(e.getKey()) || e.getValue().condition() != t.machines.get(e.getKey()).condition());
+        if (now.isBefore(t.at.plus(conditions ? TELL_EVERY : TELL_IMAGES_EVERY))) {
+            return;
+        }
+        StateStore.Txn txn = new StateStore.Txn().set(Keys.heard(settings.node(), part), new Heard(loop.timeOfDay(), what).toJson());
+        t.inFlight = true;
+        t.at = now;
+        store.commit(txn, conditions ? StateStore.Urgency.WORK : StateStore.Urgency.SPARE, r -> {
+            t.inFlight = false;
             if (r.ok()) {
+                t.machines = what;
                 mirror.committed(txn, r.edition());
             }
         });
     }
+
+    /** What was last told under one key. */
+    private static final class Told {
+        private TreeMap<String, Heard.Status> machines;
+        private Instant at = Instant.MIN;
+        private boolean inFlight;
+    }
+
+    /**
+     * After this a machine is on record as silent. A worker that has lost its controller tries others one after the other
+     * for a while: no record is written for it meanwhile.
+     */
+    private Duration silence(MachineState m) {
+        Duration usual = settings.report().multipliedBy(5).dividedBy(2);
+        return m.report == null ? usual.plus(SEARCHING) : usual;
+    }
+
+    /** What a machine has cached: of our own machines we know more than is on record. */
+    public List<String> images(MachineRecord r) {
+        MachineState m = machines.get(r.name());
+        return m == null || m.images == null ? r.images() : m.images;
+    }
+
+    /** The task's image is on the machine: it goes to the front, and what no longer fits the cache drops out. */
+    private void cached(MachineState m, Claim c) {
+        Job j = ledger.job(c.task().job());
+        MachineRecord r = ledger.machine(m.name);
+        if (j == null || r == null) {
+            return;
+        }
+        String image = j.spec().image();
+        imageGb.put(image, (Double) j.spec().imageGb());
+        if (m.images == null) {
+            m.images = r.images();
+        }
+        if (!m.images.isEmpty() && m.images.get(0).equals(image)) {
+            return;
+        }
+        List<String> all = new ArrayList<>(m.images);
+        all.remove(image);
+        all.add(0, image);
+        MachineType type = ledger.types().get(r.type());
+        double room = type == null ? 0 : type.cacheGb();
+        List<String> kept = new ArrayList<>();
+        for (String i : all) {
+            room -= imageGb.getOrDefault(i, (Double) 5.0);
+            if (room >= 0 && kept.size() < 20) {
+                kept.add(i);
+            }
+        }
+        m.images = kept;
+        endsChanged.accept(m.name);
+    }
 }
--- a/src/main/java/org/havenford/coordination/MachineState.java
+++ b/src/main/java/org/havenford/coordination/MachineState.java
@@ -3,7 +3,9 @@
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
+import org.havenford.bookkeeping.MachineRecord.Condition;
 import org.havenford.protocol.Report;
 import org.havenford.protocol.TaskId;
 
@@ -37,6 +39,9 @@
 
     final String name;
     Report report;
+    /** Session and sequence of the newest report that came by itself, not as an answer to a command. */
+    long checkinSession = -1;
+    long checkinSeq = -1;
     /** Steady time of the newest report. */
     Instant heard = Instant.MIN;
     /** The last moment at which any owner could have renewed the worker's lease. */
@@ -48,8 +53,17 @@
     boolean directInFlight;
     Instant directNotBefore = Instant.MIN;
     Instant refusedUntil = Instant.MIN;
-    boolean recordInFlight;
+    /** How the machine is, as its owner sees it; the record follows. */
+    Condition condition = Condition.BOOTING;
+    /** When it was first heard without being on record. */
+    Instant unknownSince;
+    /** Reports in a row before which the worker had reported elsewhere: our answers don't seem to reach it. */
+    int unanswered;
+    /** Answers to /do since the last report; each raises the worker's sequence too. */
+    int directAnswers;
     Instant noticeUntil;
+    /** Images that the machine should have cached, the latest first; null until the record's are taken over. */
+    List<String> images;
     final Object2ObjectOpenHashMap<TaskId, Attempt> attempts = new Object2ObjectOpenHashMap<>();
     /** Jobs that failed here since the last task that completed. */
     final Set<String> failedJobs = new HashSet<>();
--- a/src/main/java/org/havenford/coordination/Membership.java
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -1,9 +1,15 @@
 package org.havenford.coordination;
 
 import com.google.gson.JsonObject;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.ToIntFunction;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Mirror;
 import org.havenford.bookkeeping.StateStore;
@@ -23,7 +29,13 @@
     private static final Duration MARGIN = Duration.ofMillis(150);
 
     /** Keeps the view's value small. */
-    private static final int MAX_MOVES = 100;
+    private static final int MAX_MOVES = 60;
+    /** A worker that is sent to its owner and comes back within this has not reached it. */
+    private static final Duration STRAYING = Duration.ofSeconds(8);
+    /** Part of a member's machines that must stray before it is taken to be out of their reach. */
+    private static final double OUT_OF_REACH = 0.125;
+    private static final int LEAST_STRAYS = 2;
+    private static final int MAX_KEPT = 20_000;
 
     private record Member(long incarnation, long stamp) {
     }
@@ -34,8 +46,14 @@
     private final Duration life;
     private final Mirror mirror;
     private final Runnable changed;
+    private final ToIntFunction<String> ownedBy;
     private final TreeMap<String, Member> members = new TreeMap<>();
     private final TreeMap<String, String> wantedMoves = new TreeMap<>();
+    /** Machines that were sent to their owner from here, by owner. */
+    private final Map<String, Map<String, Instant>> strays = new HashMap<>();
+    private final Object2ObjectOpenHashMap<String, String> owners = new Object2ObjectOpenHashMap<>();
+    private Instant viewSince = Instant.MIN;
+    private boolean wantsToWake;
     private View view = View.empty();
     private long viewStamp;
     private long permit;
@@ -45,7 +63,10 @@
     private Instant viewUntil = Instant.MIN;
     private Instant lastProposal = Instant.MIN;
 
-    public Membership(EventLoop loop, StateStore store, Mirror mirror, String node, Duration life, Runnable changed) {
+    /** {@code ownedBy} tells how many machines a node owns. */
+    public Membership(EventLoop loop, StateStore store, Mirror mirror, String node, Duration life, Runnable changed,
+            ToIntFunction<String> ownedBy) {
+        this.ownedBy = ownedBy;
         this.loop = loop;
         this.store = store;
         this.mirror = mirror;
@@ -62,6 +83,24 @@
         return view;
     }
 
+    /** The owner of a machine in the present view; kept, since hashing for every member takes its time. */
+    public String owner(String machine) {
+        String owner = owners.get(machine);
+        if (owner == null && !view.members().isEmpty()) {
+            if (owners.size() > MAX_KEPT) {
+                owners.clear();
+            }
+            owner = view.owner(machine);
+            owners.put(machine, owner);
+        }
+        return owner;
+    }
+
+    /** Whether the copy of the store holds all that was written before the present view. */
+    public boolean sawAllBeforeView() {
+        return mirror.edition() >= viewStamp;
+    }
+
     public long viewStamp() {
         return viewStamp;
     }
@@ -195,11 +234,17 @@
                 return;
             }
             view = next;
+            owners.clear();
+            strays.clear();
+            viewSince = loop.now();
+            wantsToWake &= view.resting().contains(node);
             viewStamp = value == null ? 0 : stamp;
             viewUntil = Instant.MIN;
-            LOG.info("view {}: members {}, moved {}", view.epoch(), view.members(), view.moved().size());
+            LOG.info("view {}: members {}, moved {}, resting {}", view.epoch(), view.members(), view.moved().size(),
+                    view.resting());
             store.share(view.members().size());
-            wantedMoves.keySet().removeIf(m -> node.equals(view.owner(m)));
+            // Moved by another meanwhile, or to be decided anew among other members.
+            wantedMoves.keySet().removeIf(m -> view.moved().containsKey(m) || node.equals(view.owner(m)));
             if (registered && viewStamp > 0) {
                 compare();
             }
@@ -209,13 +254,51 @@
         }
     }
 
-    /** Asks for a machine that seems unable to reach its owner. */
+    /** Asks for a machine that seems unable to reach its owner; once for each set of members, or it would be handed round. */
     public void wantMove(String machine) {
-        if (wantedMoves.size() < MAX_MOVES && view.moved().size() < MAX_MOVES) {
+        if (wantedMoves.size() + view.moved().size() < MAX_MOVES && !view.moved().containsKey(machine)) {
             wantedMoves.put(machine, node);
         }
     }
 
+    /** A machine came here although another member owns it. */
+    public void strayed(String machine, String owner) {
+        strays.computeIfAbsent(owner, o -> new HashMap<>()).put(machine, loop.now());
+    }
+
+    /** This member rests, and has found that it reaches workers again. */
+    public void wantToWake() {
+        wantsToWake = view.resting().contains(node);
+    }
+
+    /**
+     * The one member that many of its workers do not reach. When others' workers stray as well, the trouble is with the
+     * workers, and resting would help nobody.
+     */
+    private String outOfReach() {
+        Instant now = loop.now();
+        if (view.active().size() < 2 || now.isBefore(viewSince.plus(STRAYING)) || strays.isEmpty()) {
+            return null;
+        }
+        String worst = null;
+        double worstPart = 0;
+        double second = 0;
+        for (String owner : view.active()) {
+            Map<String, Instant> of = strays.getOrDefault(owner, new HashMap<>());
+            of.values().removeIf(at -> now.isAfter(at.plus(STRAYING)));
+            int owned = ownedBy.applyAsInt(owner);
+            double part = of.size() / (double) Math.max(1, owned);
+            if (part > worstPart) {
+                second = worstPart;
+                worstPart = part;
+                worst = of.size() >= LEAST_STRAYS ? owner : null;
+            } else {
+                second = Math.max(second, part);
+            }
+        }
+        return worst != null && !worst.equals(node) && worstPart >= OUT_OF_REACH && second < worstPart / 2 ? worst : null;
+    }
+
     /** One turn of the loop: proposes the wanted view if it differs from the one in force. */
     public void step() {
         if (!mirror.loaded() || !registered || !leaseHolds() || proposing) {
@@ -228,8 +311,11 @@
             return;
         }
         boolean sameMembers = wanted.equals(view.members());
-        boolean moves = !wantedMoves.isEmpty() && !loop.now().isBefore(lastProposal.plusSeconds(2));
-        if (sameMembers && !moves) {
+        boolean calm = !loop.now().isBefore(lastProposal.plusSeconds(2));
+        boolean moves = !wantedMoves.isEmpty() && calm;
+        String rest = sameMembers && calm ? outOfReach() : null;
+        boolean wake = wantsToWake && calm;
+        if (sameMembers && !moves && !wake && rest == null) {
             return;
         }
         TreeMap<String, String> moved = new TreeMap<>();
@@ -237,7 +323,17 @@
             moved.putAll(view.moved());
             moved.putAll(wantedMoves);
         }
-        View next = new View(view.epoch() + 1, wanted, moved);
+        TreeSet<String> resting = new TreeSet<>(view.resting());
+        // Another life of a node starts afresh.
+        resting.removeIf(n -> !Objects.equals(wanted.get(n), view.members().get(n)));
+        if (wake) {
+            resting.remove(node);
+        }
+        if (rest != null) {
+            LOG.info("{} is out of its workers' reach: it rests", rest);
+            resting.add(rest);
+        }
+        View next = new View(view.epoch() + 1, wanted, moved, resting);
         StateStore.Txn txn = new StateStore.Txn().guard(Keys.VIEW, viewStamp);
         // A member leaves only while its leased key is certainly gone (or a later life of the node has replaced it),
         // so it can no longer hold itself entitled.
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -7,17 +7,22 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import org.havenford.bookkeeping.Chunk;
 import org.havenford.bookkeeping.Claim;
 import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Ledger;
 import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.bookkeeping.Quota.Amount;
 import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.MachineType;
 import org.havenford.protocol.Settings;
@@ -25,7 +30,8 @@
 
 /**
  * Decides what should run where, from a snapshot. Every controller plans for the whole fleet and claims only on the
- * machines it owns; since all see the same store, their plans mostly agree, and a guarded claim settles the rest.
+ * machines it owns; since all see the same store, their plans mostly agree, and a guarded claim settles the rest. The
+ * tasks of one chunk go to machines of one owner at a time, as owners that fill one key only get in each other's way.
  */
 public final class Planner {
     public record Placement(TaskId task, String machine) {
@@ -42,18 +48,18 @@
         double cpus;
         double cards;
         double mem;
-        final Set<String> images = new HashSet<>();
+        final Set<String> images;
         final List<Claim> claims = new ArrayList<>();
         /** Images that claims on this machine may still be fetching. */
-        final Set<String> fetching = new HashSet<>();
+        final Set<String> fetching = new HashSet<>(4);
 
-        Room(MachineRecord machine, MachineType type) {
+        Room(MachineRecord machine, MachineType type, List<String> images) {
             this.machine = machine;
             this.type = type;
             cpus = type.cpus();
             cards = type.cards();
             mem = type.memGb();
-            images.addAll(machine.images());
+            this.images = Set.copyOf(images);
         }
 
         boolean fits(JobSpec s) {
@@ -69,6 +75,19 @@
             }
         }
 
+        void give(JobSpec s) {
+            cpus += s.cpus();
+            cards += s.cards();
+            mem += s.memGb();
+        }
+
+        int slots(JobSpec s) {
+            double n = cpus / s.cpus();
+            n = s.cards() > 0 ? Math.min(n, cards / s.cards()) : n;
+            n = s.memGb() > 0 ? Math.min(n, mem / s.memGb()) : n;
+            return (int) (n + 1e-6);
+        }
+
         double fetchSeconds(JobSpec s) {
             if (images.contains(s.image())) {
                 return 0;
@@ -78,9 +97,17 @@
         }
     }
 
-    /** What the planner is told besides the ledger. */
-    public record Limits(Predicate<MachineRecord> usable, Predicate<Job> held, Predicate<Placement> avoided,
-            BooleanSupplier outOfTime) {
+    /**
+     * What the planner is told besides the ledger: tasks that have ended without a release, claims under way by machine,
+     * and owners that have left a chunk lying.
+     */
+    public record Limits(Predicate<MachineRecord> usable, Function<MachineRecord, List<String>> images,
+            Function<MachineRecord, MachineRecord.Condition> condition, Predicate<Job> held, Predicate<Placement> avoided,
+            Predicate<Claim> ended, Function<String, List<JobSpec>> underWay, BiPredicate<String, String> passedOver, BooleanSupplier outOfTime) {
+    }
+
+    /** A room that takes tasks of the job at hand, and what the next task costs there. */
+    private record Offer(double score, Room room) {
     }
 
     /** Seconds of fetching that it is worth to leave a large machine to those tasks that need one. */
@@ -92,6 +119,13 @@
     /** Seconds of fetching that a second of running is worth on a machine that can't be taken back. */
     private static final double SPOT_RISK = 0.05;
 
+    /** Seconds of fetching for which a chunk's tasks are left to the owner that comes first for them. */
+    private static final double CHANGE_OF_OWNER = 0.8;
+    /** The same for a task that finds no room there. */
+    private static final double NO_ROOM = 30;
+
+    private static final Duration STARVING = Duration.ofSeconds(90);
+
     private static final Duration PRESSING_BEFORE = Duration.ofSeconds(7);
     private static final Duration PRESSING_AFTER = Duration.ofSeconds(20);
     /** Work of more than this is not stopped for other work. */
@@ -102,12 +136,18 @@
     private final Ledger ledger;
     private final Settings settings;
     private final boolean speedFirst;
+    private final UnaryOperator<String> owner;
     private Set<String> awaited = Set.of();
+    /** Room on the machines that take tasks, kept from round to round; those named in {@code stale} are worked out anew. */
+    private final TreeMap<String, Room> rooms = new TreeMap<>();
+    private final Set<String> stale = new HashSet<>();
+    private boolean allStale = true;
     /** Job at which the last round ran out of time; the next one goes on there. */
     private String resumeAt;
 
-    public Planner(Ledger ledger, Settings settings, Operator operator) {
+    public Planner(Ledger ledger, Settings settings, Operator operator, UnaryOperator<String> owner) {
         this.ledger = ledger;
+        this.owner = owner;
         this.settings = settings;
         this.speedFirst = operator.speedFirst(settings);
     }
@@ -146,16 +186,22 @@
         Map<String, Instant> latest = new HashMap<>();
         open.forEach(j -> latest.put(j.id(), latestStart(j, now)));
         open.removeIf(j -> j.pendingCount() == 0);
-        open.sort(Comparator.comparing((Job j) -> !guaranteed.contains(j.id()))
+        open.sort(Comparator.comparing((Job j) -> !starving(j, now))
+                .thenComparing(j -> !guaranteed.contains(j.id()))
                 .thenComparing(j -> j.spec().priority())
                 .thenComparing(j -> latest.get(j.id()))
                 .thenComparing(Job::id));
         return open;
     }
 
+    /** A job that has waited this long without a start goes first, whatever else there is: no kind of work starves. */
+    private static boolean starving(Job j, Instant now) {
+        return j.claimCount() == 0 && j.doneCount() == 0 && now.isAfter(j.submitted().plus(STARVING));
+    }
+
     /** When a task of the job must start so that the aim of its class is met. */
     private Instant latestStart(Job j, Instant now) {
-        Duration run = Ledger.median(j, false);
+        Duration run = j.medianRun();
         Instant latest = null;
         if (j.due() != null) {
             latest = j.due().minus(run == null ? j.spec().guess() : run);
@@ -189,36 +235,61 @@
         return out;
     }
 
-    /** Room on the machines that take tasks. */
-    Map<String, Room> rooms(Predicate<MachineRecord> usable) {
-        Map<String, Room> rooms = new LinkedHashMap<>();
-        List<MachineRecord> sorted = new ArrayList<>(ledger.machines());
-        sorted.sort(Comparator.comparing(MachineRecord::name));
-        for (MachineRecord m : sorted) {
-            MachineType type = ledger.types().get(m.type());
-            if (type == null || m.condition() != MachineRecord.Condition.UP || !usable.test(m)) {
-                continue;
+    /** The machine, its claims or what is known of their ends have changed. */
+    public void changed(String machine) {
+        stale.add(machine);
+    }
+
+    public void allChanged() {
+        allStale = true;
+    }
+
+    private void refresh(Limits limits) {
+        if (allStale) {
+            allStale = false;
+            rooms.clear();
+            for (MachineRecord m : ledger.machines()) {
+                stale.add(m.name());
             }
-            Room room = new Room(m, type);
-            for (Claim c : ledger.claimsOn(m.name()).values()) {
-                Job j = ledger.job(c.task().job());
-                if (j != null) {
-                    room.take(j.spec());
-                    room.claims.add(c);
-                }
+        }
+        for (String name : stale) {
+            Room room = room(name, limits);
+            if (room == null) {
+                rooms.remove(name);
+            } else {
+                rooms.put(name, room);
+            }
+        }
+        stale.clear();
+    }
+
+    private Room room(String name, Limits limits) {
+        MachineRecord m = ledger.machine(name);
+        MachineType type = m == null ? null : ledger.types().get(m.type());
+        if (type == null || limits.condition().apply(m) != MachineRecord.Condition.UP) {
+            return null;
+        }
+        Room room = new Room(m, type, limits.images().apply(m));
+        for (Claim c : ledger.claimsOn(name).values()) {
+            Job j = ledger.job(c.task().job());
+            // A task known to have ended leaves its room at once; its release is written with others, a moment later.
+            if (j != null && !limits.ended().test(c)) {
+                room.take(j.spec());
+                room.claims.add(c);
             }
-            rooms.put(m.name(), room);
         }
-        return rooms;
+        limits.underWay().apply(name).forEach(room::take);
+        return room;
     }
 
     /** Assigns pending tasks in order, until the room or the round's time is used up. */
-    public Plan plan(Instant now, Limits limits, Map<String, Room> rooms) {
+    public Plan plan(Instant now, Limits limits) {
         Plan out = new Plan(new ArrayList<>(), new ArrayList<>());
+        refresh(limits);
         if (rooms.isEmpty()) {
             return out;
         }
-        Object2ObjectOpenHashMap<String, double[]> used = new Object2ObjectOpenHashMap<>();
+        Object2ObjectOpenHashMap<String, Amount> used = new Object2ObjectOpenHashMap<>();
         List<Job> order = order(now);
         awaited = awaited(order);
         int from = 0;
@@ -230,6 +301,12 @@
             }
             resumeAt = null;
         }
+        List<Room> open = new ArrayList<>();
+        for (Room r : rooms.values()) {
+            if (r.cpus > 1e-6 && limits.usable().test(r.machine)) {
+                open.add(r);
+            }
+        }
         for (int k = 0; k < order.size(); k++) {
             Job job = order.get((from + k) % order.size());
             if (k > 0 && limits.outOfTime().getAsBoolean()) {
@@ -237,23 +314,27 @@
                 break;
             }
             if (!limits.held().test(job)) {
-                place(job, now, limits, rooms, used, out);
+                place(job, now, limits, open, used, out);
             }
         }
         return out;
     }
 
-    private void place(Job job, Instant now, Limits limits, Map<String, Room> rooms, Map<String, double[]> used, Plan out) {
+    private void place(Job job, Instant now, Limits limits, List<Room> open, Map<String, Amount> used, Plan out) {
         JobSpec s = job.spec();
         Settings.Team team = settings.teams().get(s.team());
-        double[] u = null;
+        Amount one = new Amount(s.cpus(), s.cards());
+        int quota = job.pendingCount();
         if (team != null && team.limited()) {
-            u = used.computeIfAbsent(s.team(), ledger::usage);
+            Amount u = used.computeIfAbsent(s.team(), ledger::usage);
+            quota = Math.min(quota, fitting(team, u, one));
         }
-        int quota = Integer.MAX_VALUE;
         if (job.errors() >= 3) {
             // A job that fails everywhere keeps one task going, so that it does not eat the fleet.
-            quota = Math.max(0, 1 - job.claimCount());
+            quota = Math.min(quota, Math.max(0, 1 - job.claimCount()));
+        }
+        if (quota <= 0) {
+            return;
         }
         Map<String, Integer> zones = new HashMap<>();
         if (s.together() || s.apart()) {
@@ -262,63 +343,132 @@
                 zones.merge(m == null ? "?" : m.zone(), 1, Integer::sum);
             }
         }
-        double smallest = ledger.types().values().stream().filter(s::fits).mapToDouble(MachineType::cpus).min().orElse(0);
-        boolean pressing = pressing(job, now);
         String onlyZone = null;
         if (s.together()) {
-            onlyZone = zones.isEmpty() ? bestZone(s, rooms, job.pendingCount()) : zones.keySet().iterator().next();
+            onlyZone = zones.isEmpty() ? bestZone(s, open, job.pendingCount()) : zones.keySet().iterator().next();
         }
+        Map<String, List<Offer>> offers = offers(s, open, onlyZone);
+        int before = out.placements().size();
+        int unplaced = 0;
         for (int i = 0; i < job.chunkCount() && quota > 0; i++) {
             Chunk chunk = job.chunk(i);
             if (chunk.pendingCount() == 0) {
                 continue;
             }
-            for (TaskId task : chunk.pending()) {
-                if (u != null && (team.cpusMax() > 0 && u[0] + s.cpus() > team.cpusMax() + 1e-6
-                        || team.cardsMax() > 0 && u[1] + s.cards() > team.cardsMax() + 1e-6)) {
-                    return;
-                }
-                Room best = null;
-                double bestScore = Double.MAX_VALUE;
-                boolean anyFits = false;
-                for (Room room : rooms.values()) {
-                    MachineRecord m = room.machine;
-                    if (!room.fits(s) || !s.allows(room.type, m.zone(), m.spot())
-                            || onlyZone != null && !onlyZone.equals(m.zone())) {
-                        continue;
-                    }
-                    if (s.apart() && zones.getOrDefault(m.zone(), 0) + zones.getOrDefault("?", 0) >= s.zoneCap()) {
-                        continue;
-                    }
-                    anyFits = true;
-                    if (m.name().equals(chunk.lateOn(task.index())) || limits.avoided().test(new Placement(task, m.name()))) {
-                        continue;
-                    }
-                    double score = room.fetchSeconds(s) + (room.cpus - s.cpus()) / room.type.cpus()
-                            + largePenalty(room.type, smallest) + kindPenalty(s, m);
-                    if (score < bestScore) {
-                        bestScore = score;
-                        best = room;
-                    }
-                }
-                if (best == null) {
-                    if (!anyFits && (!pressing || !preempt(job, now, rooms, onlyZone, out))) {
-                        return;
-                    }
+            String key = Keys.tasks(job.id(), i);
+            List<TaskId> pending = chunk.pending();
+            int placed = 0;
+            String chosen = offers.isEmpty() ? null : owner(key, i, s, offers, Math.min(quota, pending.size()), limits);
+            if (chosen != null) {
+                placed = fill(chunk, pending, quota, s, offers.get(chosen), zones, limits, out);
+                quota -= placed;
+            }
+            unplaced += Math.min(quota, pending.size() - placed);
+        }
+        if (unplaced > 0 && pressing(job, now) && offers.values().stream().allMatch(l -> l.stream().noneMatch(o -> o.room().fits(s)))) {
+            preempt(s, unplaced, now, onlyZone, limits, out);
+        }
+        if (team != null && team.limited()) {
+            used.merge(s.team(), one.times(out.placements().size() - before), Amount::plus);
+        }
+    }
+
+    private static int fitting(Settings.Team team, Amount used, Amount one) {
+        double n = Integer.MAX_VALUE;
+        if (team.cpusMax() > 0 && one.cpus() > 0) {
+            n = Math.min(n, (team.cpusMax() - used.cpus()) / one.cpus() + 1e-6);
+        }
+        if (team.cardsMax() > 0 && one.cards() > 0) {
+            n = Math.min(n, (team.cardsMax() - used.cards()) / one.cards() + 1e-6);
+        }
+        return (int) Math.max(0, Math.min(Integer.MAX_VALUE, Math.floor(n)));
+    }
+
+    /** What each owner's machines offer to tasks of a job, the best first. */
+    private Map<String, List<Offer>> offers(JobSpec s, List<Room> open, String onlyZone) {
+        double smallest = ledger.types().values().stream().filter(s::fits).mapToDouble(MachineType::cpus).min().orElse(0);
+        Map<String, List<Offer>> offers = new TreeMap<>();
+        for (Room room : open) {
+            MachineRecord m = room.machine;
+            if (!room.fits(s) || !s.allows(room.type, m.zone(), m.spot()) || onlyZone != null && !onlyZone.equals(m.zone())) {
+                continue;
+            }
+            double score = room.fetchSeconds(s) + (room.cpus - s.cpus()) / room.type.cpus()
+                    + largePenalty(room.type, smallest) + kindPenalty(s, m);
+            offers.computeIfAbsent(owner.apply(m.name()), o -> new ArrayList<>()).add(new Offer(score, room));
+        }
+        for (List<Offer> l : offers.values()) {
+            l.sort(Comparator.comparingDouble(Offer::score).thenComparing(o -> o.room().machine.name()));
+        }
+        return offers;
+    }
+
+    /**
+     * The owner whose machines take the tasks of a chunk. Each chunk has one to begin with, found by its place in the
+     * job; another is chosen only when it offers clearly more, so that controllers whose copies of the store differ by a
+     * moment still agree.
+     */
+    private String owner(String key, int index, JobSpec s, Map<String, List<Offer>> offers, int tasks, Limits limits) {
+        List<String> owners = new ArrayList<>(offers.keySet());
+        String best = null;
+        double least = Double.MAX_VALUE;
+        int first = (s.id().hashCode() & 0xffff) + index;
+        for (int i = 0; i < owners.size(); i++) {
+            String o = owners.get((first + i) % owners.size());
+            if (limits.passedOver().test(key, o)) {
+                continue;
+            }
+            double cost = cost(s, offers.get(o), tasks) + (i == 0 ? 0 : CHANGE_OF_OWNER * tasks);
+            if (cost < least) {
+                least = cost;
+                best = o;
+            }
+        }
+        return best;
+    }
+
+    private static double cost(JobSpec s, List<Offer> offers, int tasks) {
+        double cost = 0;
+        int left = tasks;
+        for (Offer o : offers) {
+            if (left <= 0) {
+                break;
+            }
+            int n = Math.min(left, o.room().slots(s));
+            cost += n * o.score();
+            left -= n;
+        }
+        return cost + left * NO_ROOM;
+    }
+
+    private int fill(Chunk chunk, List<TaskId> pending, int most, JobSpec s, List<Offer> offers, Map<String, Integer> zones,
+            Limits limits, Plan out) {
+        int placed = 0;
+        for (TaskId task : pending) {
+            if (placed >= most) {
+                break;
+            }
+            for (Offer o : offers) {
+                Room room = o.room();
+                String zone = room.machine.zone();
+                if (!room.fits(s) || s.apart() && zones.getOrDefault(zone, 0) + zones.getOrDefault("?", 0) >= s.zoneCap()
+                        || room.machine.name().equals(chunk.lateOn(task.index()))
+                        || limits.avoided().test(new Placement(task, room.machine.name()))) {
                     continue;
                 }
-                best.take(s);
-                if (u != null) {
-                    u[0] += s.cpus();
-                    u[1] += s.cards();
-                }
-                zones.merge(best.machine.zone(), 1, Integer::sum);
-                out.placements().add(new Placement(task, best.machine.name()));
-                if (--quota == 0) {
-                    return;
-                }
+                room.take(s);
+                stale.add(room.machine.name());
+                zones.merge(zone, 1, Integer::sum);
+                out.placements().add(new Placement(task, room.machine.name()));
+                placed++;
+                break;
+            }
+            offers.removeIf(o -> !o.room().fits(s));
+            if (offers.isEmpty()) {
+                break;
             }
         }
+        return placed;
     }
 
     /** Whether a job of high priority is about to miss the start that its class aims at. */
@@ -330,59 +480,75 @@
         return now.isAfter(latest.minus(PRESSING_BEFORE)) && now.isBefore(latest.plus(PRESSING_AFTER));
     }
 
+    /** Claims on one machine that make room for a task, and what is lost with them. */
+    private record Victims(Room room, List<Claim> claims, long loss) {
+    }
+
     /**
      * Finds work of lower priority to stop: as little as possible of what has been done is lost, and only what can still
      * be in time afterwards is taken. The order does not depend on who looks, and until the stop is confirmed the same
      * claims are found again; so controllers and rounds do not stop more and more for the same need.
      */
-    private boolean preempt(Job job, Instant now, Map<String, Room> rooms, String onlyZone, Plan out) {
-        JobSpec s = job.spec();
-        Room best = null;
-        List<Claim> bestVictims = null;
-        long bestLoss = Long.MAX_VALUE;
+    private void preempt(JobSpec s, int tasks, Instant now, String onlyZone, Limits limits, Plan out) {
+        List<Victims> found = new ArrayList<>();
         for (Room room : rooms.values()) {
             MachineRecord m = room.machine;
-            if (!s.allows(room.type, m.zone(), m.spot()) || onlyZone != null && !onlyZone.equals(m.zone())) {
-                continue;
-            }
-            List<Claim> young = new ArrayList<>(room.claims);
-            young.removeIf(c -> !spare(c, s.priority(), now));
-            young.sort(Comparator.comparing(Claim::at).reversed().thenComparing(Claim::task));
-            List<Claim> victims = new ArrayList<>();
-            double cpus = room.cpus;
-            double cards = room.cards;
-            double mem = room.mem;
-            long loss = 0;
-            for (Claim c : young) {
-                if (s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6) {
-                    break;
+            if (!room.claims.isEmpty() && s.allows(room.type, m.zone(), m.spot())
+                    && (onlyZone == null || onlyZone.equals(m.zone())) && limits.usable().test(m)) {
+                Victims v = victims(room, s, now);
+                if (v != null) {
+                    found.add(v);
                 }
-                JobSpec v = ledger.job(c.task().job()).spec();
-                cpus += v.cpus();
-                cards += v.cards();
-                mem += v.memGb();
-                loss += (long) (v.cpus() * Duration.between(c.at(), now).toMillis());
-                victims.add(c);
             }
-            if (s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6 && loss < bestLoss) {
-                best = room;
-                bestVictims = victims;
-                bestLoss = loss;
+        }
+        found.sort(Comparator.comparingLong(Victims::loss).thenComparing(v -> v.room().machine.name()));
+        int made = 0;
+        for (Victims v : found) {
+            if (made >= tasks) {
+                return;
+            }
+            for (Claim c : v.claims()) {
+                v.room().give(ledger.job(c.task().job()).spec());
+                v.room().claims.remove(c);
+                out.preempted().add(c);
+            }
+            stale.add(v.room().machine.name());
+            while (made < tasks && v.room().fits(s)) {
+                v.room().take(s);
+                made++;
             }
         }
-        if (best == null) {
-            return false;
+    }
+
+    private Victims victims(Room room, JobSpec s, Instant now) {
+        List<Claim> young = new ArrayList<>(4);
+        for (Claim c : room.claims) {
+            if (spare(c, s.priority(), now)) {
+                young.add(c);
+            }
         }
-        for (Claim c : bestVictims) {
+        if (young.isEmpty()) {
+            return null;
+        }
+        young.sort(Comparator.comparing(Claim::at).reversed().thenComparing(Claim::task));
+        List<Claim> victims = new ArrayList<>();
+        double cpus = room.cpus;
+        double cards = room.cards;
+        double mem = room.mem;
+        long loss = 0;
+        for (Claim c : young) {
+            if (s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6) {
+                break;
+            }
             JobSpec v = ledger.job(c.task().job()).spec();
-            best.cpus += v.cpus();
-            best.cards += v.cards();
-            best.mem += v.memGb();
-            best.claims.remove(c);
-            out.preempted().add(c);
-        }
-        best.take(s);
-        return true;
+            cpus += v.cpus();
+            cards += v.cards();
+            mem += v.memGb();
+            loss += (long) (v.cpus() * Duration.between(c.at(), now).toMillis());
+            victims.add(c);
+        }
+        boolean enough = s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6;
+        return enough ? new Victims(room, victims, loss) : null;
     }
 
     private boolean spare(Claim c, JobSpec.Priority than, Instant now) {
@@ -395,9 +561,9 @@
     }
 
     /** The zone in which most tasks of a job that must stay together find room. */
-    private static String bestZone(JobSpec s, Map<String, Room> rooms, int pending) {
+    private static String bestZone(JobSpec s, List<Room> open, int pending) {
         Map<String, Integer> fit = new HashMap<>();
-        for (Room r : rooms.values()) {
+        for (Room r : open) {
             if (s.allows(r.type, r.machine.zone(), r.machine.spot()) && r.fits(s)) {
                 int n = (int) Math.min(pending, r.cpus / s.cpus() + 1e-6);
                 fit.merge(r.machine.zone(), n, Integer::sum);
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -8,12 +8,16 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Ledger;
 import org.havenford.bookkeeping.Ledger.Booking;
+import org.havenford.bookkeeping.MachineBatch;
 import org.havenford.bookkeeping.MachineRecord;
 import org.havenford.bookkeeping.MachineRecord.Condition;
 import org.havenford.bookkeeping.Mirror;
@@ -39,6 +43,14 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
     private static final Duration AVERAGE_OVER = Duration.ofSeconds(90);
     private static final Duration SUSTAINED_OVER = Duration.ofSeconds(8);
+    private static final Duration SIZE_EVERY = Duration.ofMillis(500);
+    /** Machines that go are gathered, since each change of a batch fails the claims under way on its other machines. */
+    private static final Duration TRIM_EVERY = Duration.ofSeconds(2);
+    private static final Duration DROP_EVERY = Duration.ofSeconds(1);
+    /** The cloud's limits of machines in one call. */
+    private static final int MOST_RENTED = 50;
+    private static final int MOST_RETURNED = 100;
+    private static final int MOST_BOOKINGS = 3;
     private static final Duration REFUSAL_HOLDS = Duration.ofSeconds(90);
 
     private final EventLoop loop;
@@ -58,15 +70,22 @@
     private final Map<String, Instant> returned = new HashMap<>();
     private final Map<String, Instant> lastListed = new HashMap<>();
     private final Set<String> failed = new HashSet<>();
+    /** Batches that are being written. */
+    private final Set<String> busyBatches = new HashSet<>();
+    /** Machines whose return the cloud has confirmed, and that are still on record. */
+    private final Set<String> goneNow = new LinkedHashSet<>();
     private final Object2DoubleOpenHashMap<Kind> average = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<Kind> sustained = new Object2DoubleOpenHashMap<>();
     private final boolean speedFirst;
     private Instant averagedAt;
     private Instant nextTypes = Instant.MIN;
     private Instant nextList = Instant.MIN;
-    private Instant nextRent = Instant.MIN;
+    private Instant nextTrim = Instant.MIN;
+    private Instant nextDrop = Instant.MIN;
+    private Instant nextSize = Instant.MIN;
     private Instant lastFullList = Instant.MIN;
     private boolean listing;
+    private boolean renting;
     private String typesText = "";
     private long counter;
     private boolean active;
@@ -96,10 +115,16 @@
         if (!active) {
             active = true;
             inFlight.clear();
+            busyBatches.clear();
+            goneNow.clear();
             idleSince.clear();
             lastListed.clear();
             lastFullList = Instant.MIN;
+            renting = false;
             averagedAt = null;
+            nextSize = Instant.MIN;
+            nextTrim = Instant.MIN;
+            nextDrop = Instant.MIN;
             // Its predecessor knew since when machines have been idle; half the time is a fair guess.
             for (MachineRecord r : ledger.machines()) {
                 if (r.condition() == Condition.UP && ledger.claimsOn(r.name()).isEmpty()) {
@@ -109,15 +134,16 @@
         }
         types(now);
         list(now);
-        judge(now);
         giveBack();
         bookings();
-        if (!ledger.types().isEmpty()) {
+        if (!now.isBefore(nextSize) && !ledger.types().isEmpty()) {
+            nextSize = now.plus(SIZE_EVERY);
+            judge(now);
             size(now);
         }
     }
 
-    private boolean call(String method, String path, String body, java.util.function.Consumer<HttpCalls.Reply> done) {
+    private boolean call(String method, String path, String body, Consumer<HttpCalls.Reply> done) {
         if (!budget.has(1, loop.now())) {
             return false;
         }
@@ -126,13 +152,14 @@
         return true;
     }
 
-    private void write(StateStore.Txn txn, Runnable after) {
+    /** {@code after} is told whether it was written. */
+    private void write(StateStore.Txn txn, Consumer<Boolean> after) {
         txn.guard(Keys.VIEW, membership.viewStamp());
         store.commit(txn, StateStore.Urgency.WORK, r -> {
             if (r.ok()) {
                 mirror.committed(txn, r.edition());
             }
-            after.run();
+            after.accept(r.ok());
             wake.run();
         });
     }
@@ -152,7 +179,11 @@
                 JsonObject value = MachineType.toJson(MachineType.parseAll(Json.object(reply.body())));
                 if (!value.toString().equals(typesText)) {
                     String text = value.toString();
-                    write(new StateStore.Txn().set(Keys.TYPES, value), () -> typesText = text);
+                    write(new StateStore.Txn().set(Keys.TYPES, value), ok -> {
+                        // Written under a view that has just changed, they are not there: then they come again.
+                        typesText = ok ? text : typesText;
+                        nextTypes = ok ? nextTypes : Instant.MIN;
+                    });
                 }
             } catch (Json.BadMessage e) {
                 LOG.warn("cloud: the machine types can't be read: {}", e.getMessage());
@@ -204,22 +235,30 @@
         lastFullList = asked;
         all.keySet().forEach(name -> lastListed.put(name, asked));
         failed.clear();
-        StateStore.Txn adopt = new StateStore.Txn();
+        Map<String, List<Listed>> unknown = new TreeMap<>();
         for (Listed m : all.values()) {
             if (m.status() == CloudMessages.Status.FAILED) {
                 failed.add(m.machine());
             }
             // A machine that nobody has a record of: a rental that was carried out late, or whose answer was lost.
             if (ledger.machine(m.machine()) == null && !returned.containsKey(m.machine()) && ledger.bookings().isEmpty()
-                    && m.age().compareTo(Duration.ofSeconds(10)) > 0 && adopt.writes() < settings.txnOps() - 2) {
+                    && m.age().compareTo(Duration.ofSeconds(10)) > 0) {
                 LOG.info("adopting {}, which the cloud lists and is in no record", m.machine());
-                adopt.guard(Keys.machine(m.machine()), 0);
-                adopt.set(Keys.machine(m.machine()), new MachineRecord(m.machine(), m.type(), m.zone(), m.spot(),
-                        m.endpoint(), Condition.BOOTING, 0, loop.timeOfDay().minus(m.age()), List.of()).toJson());
+                unknown.computeIfAbsent(offer(m.type(), m.zone(), m.spot()), k -> new ArrayList<>()).add(m);
+            }
+        }
+        StateStore.Txn adopt = new StateStore.Txn();
+        for (List<Listed> alike : unknown.values()) {
+            if (adopt.writes() < settings.txnOps()) {
+                Listed one = alike.get(0);
+                String name = unique("l");
+                adopt.guard(Keys.batch(name), 0).set(Keys.batch(name), MachineBatch.of(name, one.type(), one.zone(), one.spot(),
+                        loop.timeOfDay().minus(one.age()),
+                        alike.stream().limit(MachineBatch.MOST).map(Listed::machine).toList()).toJson());
             }
         }
         if (adopt.writes() > 0) {
-            write(adopt, () -> { });
+            write(adopt, ok -> { });
         }
         lastListed.values().removeIf(at -> at.isBefore(asked.minusSeconds(600)));
         returned.values().removeIf(at -> at.isBefore(asked.minusSeconds(600)));
@@ -232,27 +271,70 @@
     }
 
     private void judge(Instant now) {
-        StateStore.Txn txn = new StateStore.Txn();
+        Change change = new Change();
         for (MachineRecord r : ledger.machines()) {
-            if (txn.writes() >= settings.txnOps() - 2 || inFlight.contains(r.name())) {
-                continue;
-            }
-            String why = unfit(r, now);
-            if (why != null) {
+            String why = inFlight.contains(r.name()) ? null : unfit(r, now);
+            if (why != null && change.mark(r.name(), MachineBatch.Service.RETURNING)) {
                 LOG.info("returning {}: {}", r.name(), why);
-                markReturning(txn, r);
             }
         }
-        if (txn.writes() > 0) {
-            List<String> keys = List.copyOf(txn.keys());
-            keys.forEach(k -> inFlight.add(k.substring(Keys.MACHINES.length())));
-            write(txn, () -> keys.forEach(k -> inFlight.remove(k.substring(Keys.MACHINES.length()))));
-        }
+        change.write();
     }
 
-    private void markReturning(StateStore.Txn txn, MachineRecord r) {
-        String key = Keys.machine(r.name());
-        txn.guard(key, mirror.stamp(key)).set(key, r.with(Condition.RETURNING, loop.timeOfDay()).toJson());
+    /** Changes of the batches that machines are in, gathered into one transaction. */
+    private final class Change {
+        private final TreeMap<String, MachineBatch> next = new TreeMap<>();
+        private final List<String> machines = new ArrayList<>();
+
+        /** Whether there is room for the machine's batches, and none of them is being written. */
+        private boolean takes(String machine) {
+            Set<String> of = ledger.batchesOf(machine);
+            long more = of.stream().filter(b -> !next.containsKey(b)).count();
+            return !of.isEmpty() && of.stream().noneMatch(busyBatches::contains) && next.size() + more <= settings.txnOps();
+        }
+
+        boolean mark(String machine, MachineBatch.Service service) {
+            if (!takes(machine)) {
+                return false;
+            }
+            for (String b : ledger.batchesOf(machine)) {
+                next.put(b, next.getOrDefault(b, ledger.batch(b)).with(machine, service));
+            }
+            machines.add(machine);
+            return true;
+        }
+
+        boolean drop(String machine) {
+            if (!takes(machine)) {
+                return false;
+            }
+            for (String b : ledger.batchesOf(machine)) {
+                next.put(b, next.getOrDefault(b, ledger.batch(b)).without(List.of(machine)));
+            }
+            return true;
+        }
+
+        void write() {
+            if (next.isEmpty()) {
+                return;
+            }
+            StateStore.Txn txn = new StateStore.Txn();
+            next.forEach((name, batch) -> {
+                String key = Keys.batch(name);
+                txn.guard(key, mirror.stamp(key));
+                if (batch.machines().isEmpty()) {
+                    txn.delete(key);
+                } else {
+                    txn.set(key, batch.toJson());
+                }
+            });
+            busyBatches.addAll(next.keySet());
+            inFlight.addAll(machines);
+            Provisioner.this.write(txn, ok -> {
+                busyBatches.removeAll(next.keySet());
+                inFlight.removeAll(machines);
+            });
+        }
     }
 
     private String unfit(MachineRecord r, Instant now) {
@@ -284,11 +366,22 @@
 
     private void giveBack() {
         List<MachineRecord> batch = new ArrayList<>();
+        Change back = new Change();
         for (MachineRecord r : ledger.machines()) {
-            if (r.condition() == Condition.RETURNING && !inFlight.contains(r.name()) && batch.size() < settings.txnOps() - 2) {
+            if (inFlight.contains(r.name()) || goneNow.contains(r.name())) {
+                continue;
+            }
+            boolean idle = r.condition() == Condition.RETIRING && ledger.batchesOf(r.name()).stream()
+                    .allMatch(b -> mirror.edition() >= mirror.stamp(Keys.batch(b)));
+            if ((r.condition() == Condition.RETURNING || idle && ledger.claimsOn(r.name()).isEmpty()) && batch.size() < MOST_RETURNED) {
                 batch.add(r);
+            } else if (idle && !ledger.claimsOn(r.name()).isEmpty()) {
+                // A claim does not change the record, so one may have come first without our knowing.
+                back.mark(r.name(), MachineBatch.Service.IN_SERVICE);
             }
         }
+        back.write();
+        dropGone();
         if (batch.isEmpty()) {
             return;
         }
@@ -298,20 +391,28 @@
                 loop.after(Duration.ofSeconds(1), () -> inFlight.removeAll(names));
                 return;
             }
+            inFlight.removeAll(names);
             names.forEach(n -> returned.put(n, loop.now()));
             // What went back can be had again.
             batch.forEach(r -> refused.remove(offer(r.type(), r.zone(), r.spot())));
             // By now the machines and all on them are gone. The records' absence tells the owners so.
-            StateStore.Txn txn = new StateStore.Txn();
-            for (String n : names) {
-                txn.guard(Keys.machine(n), mirror.stamp(Keys.machine(n))).delete(Keys.machine(n));
-            }
-            write(txn, () -> inFlight.removeAll(names));
+            goneNow.addAll(names);
         })) {
             inFlight.addAll(names);
         }
     }
 
+    private void dropGone() {
+        goneNow.removeIf(n -> ledger.machine(n) == null);
+        if (goneNow.isEmpty() || loop.now().isBefore(nextDrop)) {
+            return;
+        }
+        nextDrop = loop.now().plus(DROP_EVERY);
+        Change change = new Change();
+        goneNow.forEach(change::drop);
+        change.write();
+    }
+
     // ---- rentals
 
     private void bookings() {
@@ -326,6 +427,11 @@
         }
     }
 
+    /** A name that no other controller and no other life of this one gives. */
+    private String unique(String prefix) {
+        return prefix + "-" + membership.view().epoch() + "-" + membership.view().members().get(settings.node()) + "-" + ++counter;
+    }
+
     private static String offer(String type, String zone, boolean spot) {
         return type + "|" + zone + "|" + spot;
     }
@@ -340,25 +446,31 @@
                 if (names.size() < b.count()) {
                     refused.put(offer(b.type(), b.zone(), b.spot()), loop.now());
                 }
-                for (String name : names) {
-                    if (ledger.machine(name) == null) {
-                        txn.guard(Keys.machine(name), 0).set(Keys.machine(name), new MachineRecord(name, b.type(), b.zone(),
-                                b.spot(), "", Condition.BOOTING, 0, loop.timeOfDay(), List.of()).toJson());
-                    }
-                }
-                write(txn, () -> inFlight.remove(b.name()));
+                record(b, names);
                 return;
             } catch (Json.BadMessage e) {
                 LOG.warn("cloud: the answer to a rental can't be read: {}", e.getMessage());
             }
         } else if (reply.status() == 503 || reply.status() == 400) {
             refused.put(offer(b.type(), b.zone(), b.spot()), loop.now());
-            write(txn, () -> inFlight.remove(b.name()));
+            write(txn, ok -> inFlight.remove(b.name()));
             return;
         }
         loop.after(Duration.ofSeconds(1), () -> inFlight.remove(b.name()));
     }
 
+    /** The batch takes the booking's place in one transaction. */
+    private void record(Booking b, List<String> names) {
+        String key = Keys.booking(b.name());
+        StateStore.Txn txn = new StateStore.Txn().guard(key, mirror.stamp(key)).delete(key);
+        List<String> fresh = names.stream().filter(n -> ledger.machine(n) == null).toList();
+        if (!fresh.isEmpty()) {
+            txn.guard(Keys.batch(b.name()), 0).set(Keys.batch(b.name()), MachineBatch.of(b.name(), b.type(), b.zone(), b.spot(),
+                    loop.timeOfDay(), fresh).toJson());
+        }
+        write(txn, ok -> inFlight.remove(b.name()));
+    }
+
     private boolean refusedLately(String offer, Instant now) {
         Instant at = refused.get(offer);
         return at != null && now.isBefore(at.plus(REFUSAL_HOLDS));
@@ -427,31 +539,34 @@
     }
 
     private void rent(Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have) {
-        if (now.isBefore(nextRent) || !ledger.bookings().isEmpty()) {
-            return;
-        }
+        int bookings = ledger.bookings().size();
         List<Kind> kinds = new ArrayList<>(wanted.keySet());
         kinds.sort(Comparator.comparing(Kind::spot).reversed().thenComparing(Kind::type));
+        StateStore.Txn txn = new StateStore.Txn();
         for (Kind k : kinds) {
             int missing = wanted.get(k) - have.getOrDefault(k, 0);
-            if (missing <= 0) {
-                continue;
-            }
             // The zone with the fewest machines first.
-            List<String> zones = new ArrayList<>(ledger.types().get(k.type()).zones());
-            zones.sort(Comparator.comparingLong((String z) -> ledger.machines().stream()
-                    .filter(m -> m.zone().equals(z) && m.type().equals(k.type())).count()).thenComparing(z -> z));
-            for (String z : zones) {
-                if (refusedLately(offer(k.type(), z, k.spot()), now)) {
-                    continue;
+            Map<String, Integer> inZone = new HashMap<>();
+            for (MachineRecord m : ledger.machines()) {
+                if (m.type().equals(k.type())) {
+                    inZone.merge(m.zone(), 1, Integer::sum);
                 }
-                int count = Math.min(missing, settings.txnOps() - 2);
-                String name = "r-" + membership.view().epoch() + "-" + membership.view().members().get(settings.node()) + "-" + ++counter;
-                Booking b = new Booking(name, k.type(), z, k.spot(), count, loop.timeOfDay());
-                nextRent = now.plusMillis(500);
-                write(new StateStore.Txn().guard(Keys.booking(name), 0).set(Keys.booking(name), b.toJson()), () -> { });
-                return;
             }
+            List<String> zones = new ArrayList<>(ledger.types().get(k.type()).zones());
+            zones.removeIf(z -> refusedLately(offer(k.type(), z, k.spot()), now));
+            zones.sort(Comparator.comparingInt((String z) -> inZone.getOrDefault(z, 0)).thenComparing(z -> z));
+            for (int i = 0; i < zones.size() && missing > 0 && bookings + txn.writes() < MOST_BOOKINGS; i++) {
+                // A need that is large is spread over the zones.
+                int count = Math.min(MOST_RENTED, missing <= MOST_RENTED / 2 ? missing : (missing + zones.size() - i - 1) / (zones.size() - i));
+                String name = unique("r");
+                Booking b = new Booking(name, k.type(), zones.get(i), k.spot(), count, loop.timeOfDay());
+                txn.guard(Keys.booking(name), 0).set(Keys.booking(name), b.toJson());
+                missing -= count;
+            }
+        }
+        if (txn.writes() > 0 && !renting) {
+            renting = true;
+            write(txn, ok -> renting = false);
         }
     }
 
@@ -469,18 +584,23 @@
         // machines go first, then those that have been idle longest.
         idle.sort(Comparator.comparing(MachineRecord::spot).thenComparing(r -> idleSince.get(r.name()))
                 .thenComparing(MachineRecord::name));
+        if (now.isBefore(nextTrim)) {
+            return;
+        }
+        nextTrim = now.plus(TRIM_EVERY);
+        Change change = new Change();
+        Map<String, Integer> going = new HashMap<>();
         for (MachineRecord r : idle) {
             Kind s = new Kind(r.type(), true);
             Kind o = new Kind(r.type(), false);
-            int surplus = have.getOrDefault(s, 0) + have.getOrDefault(o, 0) - wanted.getOrDefault(s, 0) - wanted.getOrDefault(o, 0);
-            if (surplus > 0 && !speedFirst && !inFlight.contains(r.name())) {
-                StateStore.Txn txn = new StateStore.Txn();
-                markReturning(txn, r);
+            int surplus = have.getOrDefault(s, 0) + have.getOrDefault(o, 0) - wanted.getOrDefault(s, 0)
+                    - wanted.getOrDefault(o, 0) - going.getOrDefault(r.type(), 0);
+            if (surplus > 0 && !speedFirst && !inFlight.contains(r.name())
+                    && change.mark(r.name(), MachineBatch.Service.RETIRING)) {
                 LOG.info("returning {}: idle", r.name());
-                inFlight.add(r.name());
-                write(txn, () -> inFlight.remove(r.name()));
-                return;
+                going.merge(r.type(), 1, Integer::sum);
             }
         }
+        change.write();
     }
 }
--- a/src/main/java/org/havenford/coordination/Users.java
+++ b/src/main/java/org/havenford/coordination/Users.java
@@ -5,6 +5,13 @@
 import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -31,6 +38,9 @@
     private final Mirror mirror;
     private final StateStore store;
     private final Runnable wake;
+    /** Jobs asked for since the last comparison was sent. */
+    private final Map<String, List<Consumer<Response>>> asking = new LinkedHashMap<>();
+    private boolean comparing;
     /** Final states never change, so they can be answered from memory. */
     private final Cache<String, String> finals = CacheBuilder.newBuilder().maximumSize(5000).build();
 
@@ -124,7 +134,8 @@
             spec = given.withTypes(kept);
         }
         String id = spec.id();
-        Job job = new Job(spec, loop.timeOfDay(), Job.chunkSize(settings.valueBytes()), false);
+        Job job = new Job(spec, loop.timeOfDay(), Job.chunkSize(settings.valueBytes(), spec.tasks(),
+                settings.peers().size() + 1), false);
         StateStore.Txn txn = new StateStore.Txn().guard(Keys.job(id), 0).guard(Keys.end(id), 0)
                 .set(Keys.job(id), job.header(false));
         store.commit(txn, StateStore.Urgency.USER, r -> {
@@ -157,11 +168,75 @@
         }
     }
 
-    /** The header first, the final state second: a job that ends in between is found by the second call. */
+    /**
+     * Answers from our copy, once a comparison of stamps has shown that the copy is the present state; one comparison
+     * serves all who wait for it. What our copy lacks, or holds in an older version, is read from the store.
+     */
     private void read(String id, Consumer<Response> answer) {
+        if (ledger.job(id) == null) {
+            readFromStore(id, answer);
+            return;
+        }
+        asking.computeIfAbsent(id, k -> new ArrayList<>()).add(answer);
+        compare();
+    }
+
+    private void compare() {
+        if (comparing || asking.isEmpty()) {
+            return;
+        }
+        comparing = true;
+        Map<String, List<Consumer<Response>>> asked = new LinkedHashMap<>();
+        StateStore.Txn txn = new StateStore.Txn();
+        for (Iterator<Map.Entry<String, List<Consumer<Response>>>> it = asking.entrySet().iterator();
+                it.hasNext() && asked.size() < settings.txnOps() * 4;) {
+            Map.Entry<String, List<Consumer<Response>>> e = it.next();
+            it.remove();
+            if (ledger.job(e.getKey()) == null) {
+                e.getValue().forEach(w -> readFromStore(e.getKey(), w));
+                continue;
+            }
+            asked.put(e.getKey(), e.getValue());
+            txn.guard(Keys.job(e.getKey()), mirror.stamp(Keys.job(e.getKey())));
+        }
+        if (asked.isEmpty()) {
+            comparing = false;
+            return;
+        }
+        Map<String, Boolean> cancelled = new HashMap<>();
+        asked.keySet().forEach(id -> cancelled.put(id, ledger.job(id).cancelled()));
+        store.commit(txn, StateStore.Urgency.USER, r -> {
+            comparing = false;
+            Set<String> stale = new HashSet<>();
+            if (r.outcome() == Outcome.CONFLICT && r.body() != null) {
+                try {
+                    stale.addAll(Json.texts(r.body(), "failed"));
+                } catch (Json.BadMessage e) {
+                    stale.clear();
+                }
+            }
+            if (r.outcome() == Outcome.CONFLICT && stale.isEmpty()) {
+                asked.keySet().forEach(id -> stale.add(Keys.job(id)));
+            }
+            asked.forEach((id, waiting) -> {
+                if (!r.ok() && r.outcome() != Outcome.CONFLICT) {
+                    waiting.forEach(w -> w.accept(Response.comeBack(SOON)));
+                } else if (stale.contains(Keys.job(id))) {
+                    waiting.forEach(w -> readFromStore(id, w));
+                } else {
+                    String text = live(id, cancelled.get(id));
+                    waiting.forEach(w -> w.accept(Response.of(200, text)));
+                }
+            });
+            compare();
+        });
+    }
+
+    /** The header first, the final state second: a job that ends in between is found by the second call. */
+    private void readFromStore(String id, Consumer<Response> answer) {
         store.get(Keys.job(id), StateStore.Urgency.USER, r -> {
             if (r.ok()) {
-                answer.accept(Response.of(200, live(id, r.body())));
+                answer.accept(Response.of(200, live(id, cancelled(r.body()))));
             } else if (r.outcome() == Outcome.ABSENT) {
                 store.get(Keys.end(id), StateStore.Urgency.USER, e -> ended(id, e, answer));
             } else {
@@ -170,13 +245,15 @@
         });
     }
 
-    private String live(String id, JsonObject body) {
-        boolean cancelled;
+    private static boolean cancelled(JsonObject body) {
         try {
-            cancelled = Json.flagOr(Json.child(body, "v"), "_cancelled", false);
+            return Json.flagOr(Json.child(body, "v"), "_cancelled", false);
         } catch (Json.BadMessage e) {
-            cancelled = false;
+            return false;
         }
+    }
+
+    private String live(String id, boolean cancelled) {
         Job j = ledger.job(id);
         int done = j == null ? 0 : j.doneCount();
         int running = j == null ? 0 : j.claimCount();
--- a/src/main/java/org/havenford/coordination/View.java
+++ b/src/main/java/org/havenford/coordination/View.java
@@ -2,21 +2,25 @@
 
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
+import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import it.unimi.dsi.fastutil.HashCommon;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.havenford.protocol.Json;
 
 /**
  * Who takes part, as one key of the store says: node and incarnation (the lease it joined with). Each change raises the
- * epoch, and with it every token.
+ * epoch, and with it every token. A resting member owns no machines: their workers could not reach it.
  */
-public record View(long epoch, TreeMap<String, Long> members, TreeMap<String, String> moved) {
+public record View(long epoch, TreeMap<String, Long> members, TreeMap<String, String> moved, TreeSet<String> resting) {
     private static final HashFunction HASH = Hashing.murmur3_128(0x68617665);
 
     public static View empty() {
-        return new View(0, new TreeMap<>(), new TreeMap<>());
+        return new View(0, new TreeMap<>(), new TreeMap<>(), new TreeSet<>());
     }
 
     public static View parse(JsonObject o) throws Json.BadMessage {
@@ -28,7 +32,7 @@
         for (Map.Entry<String, com.google.gson.JsonElement> e : Json.child(o, "moved").entrySet()) {
             moved.put(e.getKey(), e.getValue().getAsString());
         }
-        return new View(Json.count(o, "epoch"), members, moved);
+        return new View(Json.count(o, "epoch"), members, moved, new TreeSet<>(Json.texts(o, "resting")));
     }
 
     public JsonObject toJson() {
@@ -40,24 +44,38 @@
         JsonObject v = new JsonObject();
         moved.forEach(v::addProperty);
         o.add("moved", v);
+        JsonArray r = new JsonArray();
+        resting.forEach(r::add);
+        o.add("resting", r);
         return o;
     }
 
-    /** The node that takes a machine's reports: the member with the highest hash, unless the machine was moved. */
+    /** The node that takes a machine's reports: the active member with the highest hash, unless the machine was moved. */
     public String owner(String machine) {
         String over = moved.get(machine);
-        if (over != null && members.containsKey(over)) {
+        if (over != null && members.containsKey(over) && !resting.contains(over)) {
             return over;
         }
-        return rendezvous(machine);
+        return highest(machine, active());
     }
 
     public String rendezvous(String name) {
+        return highest(name, members.keySet());
+    }
+
+    /** Members that own machines; all of them, should all be resting. */
+    public Set<String> active() {
+        Set<String> active = new TreeSet<>(members.keySet());
+        active.removeAll(resting);
+        return active.isEmpty() ? members.keySet() : active;
+    }
+
+    private static String highest(String name, Set<String> nodes) {
+        long named = HASH.hashString(name, StandardCharsets.UTF_8).asLong();
         String best = null;
         long bestHash = 0;
-        for (String node : members.keySet()) {
-            long h = HASH.newHasher().putString(node, StandardCharsets.UTF_8).putChar('|')
-                    .putString(name, StandardCharsets.UTF_8).hash().asLong();
+        for (String node : nodes) {
+            long h = HashCommon.murmurHash3(named ^ HashCommon.mix(node.hashCode() * 0x9E3779B97F4A7C15L));
             if (best == null || Long.compareUnsigned(h, bestHash) > 0) {
                 best = node;
                 bestHash = h;
@@ -68,6 +86,6 @@
 
     /** The member that rents and returns machines. */
     public String first() {
-        return members.isEmpty() ? null : members.firstKey();
+        return members.isEmpty() ? null : active().iterator().next();
     }
 }
--- a/src/main/java/org/havenford/transport/HttpClient.java
+++ b/src/main/java/org/havenford/transport/HttpClient.java
@@ -15,7 +15,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import org.agrona.collections.Object2ObjectHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,21 +27,26 @@
 
 /**
  * Undertow's client on the event loop, with kept connections. A connection serves one call at a time; one whose call
- * ran out of time is closed, so that a late answer can't be taken for the answer to a later call.
+ * ran out of time is closed, so that a late answer can't be taken for the answer to a later call. When there is no room
+ * for another connection, the kept one that has been idle longest makes way.
  */
 public final class HttpClient implements HttpCalls {
     private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
     private static final int MAX_IDLE_PER_HOST = 8;
+    private static final int MAX_EVICTED = 4;
     private final XnioLoop loop;
     private final ByteBufferPool buffers;
-    private final int maxOpen;
+    private final IntSupplier mostOpen;
     private int open;
+    /** Idle connections with their hosts, the longest idle first. */
+    private final LinkedHashMap<ClientConnection, String> byAge = new LinkedHashMap<>();
     private final Object2ObjectHashMap<String, ArrayDeque<ClientConnection>> idle = new Object2ObjectHashMap<>();
 
-    public HttpClient(XnioLoop loop, ByteBufferPool buffers, int maxOpen) {
+    /** {@code mostOpen} says how many connections there is room for at the moment. */
+    public HttpClient(XnioLoop loop, ByteBufferPool buffers, IntSupplier mostOpen) {
         this.loop = loop;
         this.buffers = buffers;
-        this.maxOpen = maxOpen;
+        this.mostOpen = mostOpen;
     }
 
     @Override
@@ -50,13 +58,14 @@
         ArrayDeque<ClientConnection> queue = idle.get(address);
         while (queue != null && !queue.isEmpty()) {
             ClientConnection c = queue.pollLast();
+            byAge.remove(c);
             if (c.isOpen()) {
                 return c;
             }
             IoUtils.safeClose(c);
         }
         if (queue != null) {
-            idle.remove(address);
+            idle.remove(address, queue);
         }
         return null;
     }
@@ -65,11 +74,29 @@
         ArrayDeque<ClientConnection> queue = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
         if (c.isOpen() && queue.size() < MAX_IDLE_PER_HOST) {
             queue.addLast(c);
+            byAge.put(c, address);
         } else {
             IoUtils.safeClose(c);
         }
     }
 
+    private boolean makeRoom() {
+        int most = mostOpen.getAsInt();
+        for (int i = 0; i < MAX_EVICTED && open >= most && !byAge.isEmpty(); i++) {
+            Map.Entry<ClientConnection, String> eldest = byAge.entrySet().iterator().next();
+            ClientConnection c = eldest.getKey();
+            String address = eldest.getValue();
+            byAge.remove(c);
+            ArrayDeque<ClientConnection> queue = idle.get(address);
+            queue.remove(c);
+            if (queue.isEmpty()) {
+                idle.remove(address);
+            }
+            IoUtils.safeClose(c);
+        }
+        return open < most;
+    }
+
     private final class Call implements ClientCallback<ClientExchange> {
         private final String address;
         private final String method;
@@ -96,7 +123,7 @@
                 send();
                 return;
             }
-            if (open >= maxOpen) {
+            if (!makeRoom()) {
                 loop.after(Duration.ZERO, () -> fail("too many connections"));
                 return;
             }
--- a/src/main/java/org/havenford/transport/HttpServer.java
+++ b/src/main/java/org/havenford/transport/HttpServer.java
@@ -49,7 +49,7 @@
                 .setSocketOption(Options.CONNECTION_LOW_WATER, maxConnections)
                 .setSocketOption(Options.BACKLOG, 256)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
                 .addHttpListener(port, host, exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE,
                         () -> receive(exchange, handler)))
                 .build();
@@ -59,6 +59,11 @@
         server.start();
     }
 
+    /** Connections that others have opened to us. */
+    public int open() {
+        return (int) server.getListenerInfo().get(0).getConnectorStatistics().getActiveConnections();
+    }
+
     private static void receive(HttpServerExchange exchange, Handler handler) {
         String method = exchange.getRequestMethod().toString();
         String path = exchange.getRequestPath();
--- a/src/test/java/org/havenford/bookkeeping/ChunkTest.java
+++ b/src/test/java/org/havenford/bookkeeping/ChunkTest.java
@@ -18,9 +18,9 @@
             int size = Job.chunkSize(limit);
             Chunk c = new Chunk("j-1", 99_936, size);
             for (int i = 99_936; i < 99_936 + size; i++) {
-                c.claim(i, "host-00000123456", 12345, AT);
+                c.claim(i, "host-00000123456", 12345, AT, "workhorse-0123456789");
                 c.release(i, true, true);
-                c.claim(i, "host-00000123456", 12345, AT);
+                c.claim(i, "host-00000123456", 12345, AT, "workhorse-0123456789");
             }
             for (int i = 0; i < size; i++) {
                 c.fetches().add(99_999);
@@ -34,10 +34,10 @@
     @Test
     void whatIsWrittenIsRead() throws Exception {
         Chunk c = new Chunk("j-1", 64, 64);
-        c.claim(70, "host-1", 3, AT);
-        c.claim(71, "host-2", 1, AT);
+        c.claim(70, "host-1", 3, AT, "node-1");
+        c.claim(71, "host-2", 1, AT, "");
         c.finish(71, 1.5, 20.25);
-        c.claim(72, "host-2", 1, AT);
+        c.claim(72, "host-2", 1, AT, "");
         c.release(72, true, false);
         Chunk read = new Chunk("j-1", 64, 64).read(c.toJson());
         assertEquals(c.toJson(), read.toJson());
@@ -50,8 +50,8 @@
     @Test
     void attemptsOnlyGrow() {
         Chunk c = new Chunk("j-1", 0, 2);
-        assertEquals(1, c.claim(0, "host-1", 1, AT).attempt());
+        assertEquals(1, c.claim(0, "host-1", 1, AT, "").attempt());
         c.release(0, false, false);
-        assertEquals(2, c.claim(0, "host-1", 1, AT).attempt());
+        assertEquals(2, c.claim(0, "host-1", 1, AT, "").attempt());
     }
 }
--- a/src/test/java/org/havenford/coordination/DecisionsTest.java
+++ b/src/test/java/org/havenford/coordination/DecisionsTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -33,8 +34,8 @@
     void rendezvousMovesOnlyWhatItMust() {
         TreeMap<String, Long> three = new TreeMap<>(java.util.Map.of("a", 1L, "b", 2L, "c", 3L));
         TreeMap<String, Long> two = new TreeMap<>(java.util.Map.of("a", 1L, "b", 2L));
-        View before = new View(1, three, new TreeMap<>());
-        View after = new View(2, two, new TreeMap<>());
+        View before = new View(1, three, new TreeMap<>(), new TreeSet<>());
+        View after = new View(2, two, new TreeMap<>(), new TreeSet<>());
         int moved = 0;
         for (int i = 0; i < 300; i++) {
             String m = String.format("host-%06d", i);
@@ -50,8 +51,8 @@
     @Test
     void aMovedMachineGoesBackWhenItsNodeLeaves() {
         TreeMap<String, String> moved = new TreeMap<>(java.util.Map.of("host-1", "b"));
-        assertEquals("b", new View(1, new TreeMap<>(java.util.Map.of("a", 1L, "b", 2L)), moved).owner("host-1"));
-        assertEquals("a", new View(2, new TreeMap<>(java.util.Map.of("a", 1L)), moved).owner("host-1"));
+        assertEquals("b", new View(1, new TreeMap<>(java.util.Map.of("a", 1L, "b", 2L)), moved, new TreeSet<>()).owner("host-1"));
+        assertEquals("a", new View(2, new TreeMap<>(java.util.Map.of("a", 1L)), moved, new TreeSet<>()).owner("host-1"));
     }
 
     @Test
--- a/src/test/java/org/havenford/world/Rules.java
+++ b/src/test/java/org/havenford/world/Rules.java
@@ -1,17 +1,28 @@
 package org.havenford.world;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.havenford.protocol.Settings;
 
 /** The rules of the protocol, checked after every event against what is really on the machines. */
 final class Rules {
+    private static final Duration KNOWN_WITHIN = Duration.ofSeconds(75);
+    private static final Duration LARGE_BEGIN_WITHIN = Duration.ofMinutes(4);
+    /** Jobs of at least this part of the largest's tasks count as the largest. */
+    private static final double LARGE = 0.8;
+
     private final World world;
     final List<String> broken = new ArrayList<>();
     int starts;
+    private boolean touched = true;
+    private Instant checked = Instant.MIN;
+    /** When the last trouble of the day is over; from then on users expect answers. */
+    Instant troublesOver = Instant.EPOCH;
 
     Rules(World world) {
         this.world = world;
@@ -33,10 +44,18 @@
         return shot.substring(0, shot.indexOf('/'));
     }
 
+    void touched() {
+        touched = true;
+    }
+
     void started(Worker on, Worker.Task t) {
         starts++;
+        touched = true;
         world.note(t.shot + " take " + t.take + " starts on " + on.name);
         Users.Job j = world.users.jobs.get(jobOf(t.shot));
+        if (j.begun == null) {
+            j.begun = world.now;
+        }
         if (on.spot && !j.spot || j.zone != null && !j.zone.equals(on.zone)) {
             broken("wrong_place", t.shot + " on " + on.name);
         }
@@ -63,6 +82,11 @@
     }
 
     void check() {
+        if (!touched && world.now.isBefore(checked.plusMillis(500))) {
+            return;
+        }
+        touched = false;
+        checked = world.now;
         Map<String, Double> used = new HashMap<>();
         for (Worker w : world.workers.values()) {
             for (Worker.Task t : w.tasks.values()) {
@@ -83,4 +107,41 @@
             }
         });
     }
+
+    /** A question about a job had no answer: after the troubles none may stay without one for longer than this. */
+    void unanswered(Users.Job j) {
+        Instant since = j.answered.isAfter(troublesOver) ? j.answered : troublesOver;
+        if (Duration.between(since, world.now).compareTo(KNOWN_WITHIN) > 0) {
+            broken("forgotten", j.id + " has had no answer since " + Duration.between(Instant.EPOCH, since).toMillis() / 1e3);
+        }
+    }
+
+    /** What users look at when the day is over: no class, no team and no class's largest jobs may starve. */
+    void endOfDay() {
+        Map<String, List<Users.Job>> groups = new TreeMap<>();
+        Map<String, Integer> largest = new HashMap<>();
+        for (Users.Job j : world.users.jobs.values()) {
+            largest.merge(j.lineup, j.tasks, Math::max);
+        }
+        for (Users.Job j : world.users.jobs.values()) {
+            if (!j.accepted || j.cancelTold != null) {
+                continue;
+            }
+            groups.computeIfAbsent("class " + j.lineup, k -> new ArrayList<>()).add(j);
+            groups.computeIfAbsent("team " + j.team, k -> new ArrayList<>()).add(j);
+            if (j.tasks >= largest.get(j.lineup) * LARGE) {
+                groups.computeIfAbsent("largest of class " + j.lineup, k -> new ArrayList<>()).add(j);
+                Instant by = j.submitted.plus(LARGE_BEGIN_WITHIN);
+                if (by.isBefore(world.now) && (j.begun == null || j.begun.isAfter(by))) {
+                    broken("unserved", j.id + ", of the largest of its class, has not begun in time");
+                }
+            }
+        }
+        groups.forEach((group, jobs) -> {
+            long served = jobs.stream().filter(j -> j.doneTold != null).count();
+            if (served * 2 < jobs.size()) {
+                broken("unserved", group + ": " + served + " of " + jobs.size());
+            }
+        });
+    }
 }
--- a/src/test/java/org/havenford/world/Store.java
+++ b/src/test/java/org/havenford/world/Store.java
@@ -38,8 +38,21 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private final List<Watcher> watchers = new ArrayList<>();
     private long edition = 1;
+    private Instant refilled;
+    private final double[] requestTokens = new double[1];
+    private final double[] changeTokens = new double[1];
+    /** What the service has been asked, and what it refused for its limits. */
+    int requests;
+    int written;
+    int conflicts;
+    int refused;
+    /** Changes made, and keys of conditions that failed, by the first two parts of the key. */
+    final TreeMap<String, Integer> changesOf = new TreeMap<>();
+    final TreeMap<String, Integer> conflictsOf = new TreeMap<>();
     private long lastLease;
     boolean outage;
+    /** Small, so that even a small world has pages. */
+    int pageSize = 7;
     /** Transactions that are answered with nothing, and applied this much later. */
     Duration lateTxn;
     int lateTxns;
@@ -78,8 +91,40 @@
         });
     }
 
+    /** Takes from a limit that allows bursts of one second's worth. */
+    private boolean within(double[] bucket, double rate, double n) {
+        bucket[0] = Math.min(rate, bucket[0] + rate * Duration.between(refilled, world.now).toNanos() / 1e9);
+        if (bucket[0] < n) {
+            return false;
+        }
+        bucket[0] -= n;
+        return true;
+    }
+
+    private boolean allowed(String path, String body) {
+        if (refilled == null) {
+            refilled = world.now;
+            requestTokens[0] = world.template.stateRps();
+            changeTokens[0] = world.template.stateWriteRps();
+        }
+        int writes = path.equals("/multi") ? JsonParser.parseString(body).getAsJsonObject().getAsJsonArray("writes").size() : 0;
+        boolean ok = within(requestTokens, world.template.stateRps(), 1) & within(changeTokens, world.template.stateWriteRps(), writes);
+        refilled = world.now;
+        if (ok) {
+            requests++;
+            written += writes;
+        } else {
+            refused++;
+        }
+        return ok;
+    }
+
     @Override
     public void request(String method, String path, String body, Consumer<Reply> answer) {
+        if (!outage && !allowed(path, body)) {
+            answer.accept(new Reply(429, "{\"error\":\"too many\"}"));
+            return;
+        }
         if (path.startsWith("/changes")) {
             Map<String, String> q = query(path);
             Watcher w = new Watcher(q.get("prefix"), Long.parseLong(q.get("since")), answer);
@@ -131,7 +176,7 @@
             boolean more = false;
             for (Map.Entry<String, Value> e : values.tailMap(q.getOrDefault("since", ""), false).entrySet()) {
                 if (e.getKey().startsWith(q.get("prefix"))) {
-                    if (items.size() >= 7) {
+                    if (items.size() >= pageSize) {
                         more = true;
                         break;
                     }
@@ -146,6 +191,11 @@
         }
     }
 
+    private static String kind(String key) {
+        String[] parts = key.split("/");
+        return key.startsWith("live/") && parts.length > 1 ? parts[0] + "/" + parts[1] : parts[0];
+    }
+
     private static JsonObject item(String key, Value v) {
         JsonObject o = new JsonObject();
         o.addProperty("k", key);
@@ -184,13 +234,21 @@
             }
         }
         if (!failed.isEmpty()) {
-            return new Reply(409, "{\"failed\":[],\"edition\":" + edition + "}");
+            conflicts++;
+            JsonObject refused = new JsonObject();
+            JsonArray keys = new JsonArray();
+            failed.forEach(keys::add);
+            failed.forEach(k -> conflictsOf.merge(kind(k), 1, Integer::sum));
+            refused.add("failed", keys);
+            refused.addProperty("edition", edition);
+            return new Reply(409, refused.toString());
         }
         if (writes.size() > 0) {
             edition++;
         }
         for (JsonElement e : writes) {
             JsonObject w = e.getAsJsonObject();
+            changesOf.merge((w.has("set") ? "set " : "delete ") + kind(w.get(w.has("set") ? "set" : "delete").getAsString()), 1, Integer::sum);
             if (w.has("set")) {
                 if (w.get("v").toString().length() > world.template.valueBytes()) {
                     throw new AssertionError("a value beyond the limit: " + w);
@@ -215,8 +273,12 @@
             return false;
         }
         JsonArray log = new JsonArray();
-        for (Change c : changes) {
-            if (c.stamp > w.since && c.key.startsWith(w.prefix)) {
+        int from = changes.size();
+        while (from > 0 && changes.get(from - 1).stamp > w.since) {
+            from--;
+        }
+        for (Change c : changes.subList(from, changes.size())) {
+            if (c.key.startsWith(w.prefix)) {
                 JsonObject o = new JsonObject();
                 o.addProperty(c.v == null ? "delete" : "set", c.key);
                 if (c.v != null) {
--- a/src/test/java/org/havenford/world/Trace.java
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -1,6 +1,7 @@
 package org.havenford.world;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.havenford.protocol.Json;
@@ -9,29 +10,38 @@
 /** A kept trace: one line an event, played in a {@link World}. See src/test/resources/traces/README.md. */
 final class Trace {
     private static final String ZONES = "abc";
+    private static final String WORKERS = "{\"report_s\":3,\"lease_s\":20,\"cancel_s\":44}";
+    private static final String STATE = "{\"rps\":300,\"write_rps\":150,\"value_kb\":8,\"txn_ops\":12}";
 
     private Trace() {
     }
 
     static Settings settings(int node, String teams) {
+        return settings(node, 3, teams, WORKERS, STATE);
+    }
+
+    static Settings settings(int node, int nodes, String teams, String workers, String state) {
         StringBuilder others = new StringBuilder();
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < nodes; i++) {
             if (i != node) {
                 others.append(others.isEmpty() ? "" : ",").append("{\"node_name\":\"node-").append(i)
-                        .append("\",\"location\":\"").append(ZONES.charAt(i)).append("\",\"peer_addr\":\"node-").append(i).append(":2\"}");
+                        .append("\",\"location\":\"").append(zone(i)).append("\",\"peer_addr\":\"node-").append(i).append(":2\"}");
             }
         }
         try {
-            return Settings.parse("{\"node_name\":\"node-" + node + "\",\"location\":\"" + ZONES.charAt(node) + "\",\"bind\":\"node-"
+            return Settings.parse("{\"node_name\":\"node-" + node + "\",\"location\":\"" + zone(node) + "\",\"bind\":\"node-"
                     + node + ":1\",\"cluster_listen\":\"node-" + node + ":2\",\"others\":[" + others
                     + "],\"endpoints\":{\"cloud\":\"cloud:1\",\"state\":\"state:1\"},\"deployment\":{\"teams\":[" + teams
-                    + "],\"workers\":{\"report_s\":3,\"lease_s\":20,\"cancel_s\":44},\"state\":{\"rps\":300,\"write_rps\":150,"
-                    + "\"value_kb\":8,\"txn_ops\":12},\"cloud\":{\"rps\":5,\"list_lag_s\":4}}}");
+                    + "],\"workers\":" + workers + ",\"state\":" + state + ",\"cloud\":{\"rps\":5,\"list_lag_s\":4}}}");
         } catch (Json.BadMessage e) {
             throw new IllegalStateException(e);
         }
     }
 
+    private static char zone(int node) {
+        return ZONES.charAt(node % ZONES.length());
+    }
+
     /** Plays the trace and returns what it found wrong. */
     static List<String> play(List<String> lines, World[] out) {
         long seed = 1;
@@ -39,6 +49,7 @@
         List<String[]> events = new ArrayList<>();
         List<String[]> expectations = new ArrayList<>();
         double until = 120;
+        int nodes = 3;
         for (String raw : lines) {
             String line = raw.replaceFirst("#.*", "").strip();
             if (line.isEmpty()) {
@@ -46,6 +57,7 @@
             }
             String[] w = line.split("\\s+");
             switch (w[0]) {
+                case "nodes" -> nodes = Integer.parseInt(w[1]);
                 case "seed" -> seed = Long.parseLong(w[1]);
                 case "team" -> teams.add("{\"name\":\"" + w[1] + "\",\"cpus\":" + w[2] + ",\"cpus_max\":" + w[3] + "}");
                 case "at", "machine" -> events.add(w);
@@ -55,10 +67,10 @@
             }
         }
         String teamText = String.join(",", teams);
-        World world = new World(seed, settings(0, teamText));
+        World world = new World(seed, settings(0, nodes, teamText, WORKERS, STATE));
         out[0] = world;
-        for (int i = 0; i < 3; i++) {
-            world.addNode(settings(i, teamText));
+        for (int i = 0; i < nodes; i++) {
+            world.addNode(settings(i, nodes, teamText, WORKERS, STATE));
         }
         for (String[] e : events) {
             if (e[0].equals("machine")) {
@@ -67,16 +79,29 @@
                 world.at(Double.parseDouble(e[1]), () -> event(world, e));
             }
         }
+        for (String[] e : events) {
+            if (e[0].equals("at") && !e[2].equals("submit") && !e[2].equals("cancel")) {
+                Instant at = Instant.EPOCH.plusMillis((long) (Double.parseDouble(e[1]) * 1000));
+                world.rules.troublesOver = at.isAfter(world.rules.troublesOver) ? at : world.rules.troublesOver;
+            }
+        }
         world.runUntil(until);
+        if (expectations.stream().anyMatch(e -> e[1].equals("served"))) {
+            world.rules.endOfDay();
+        }
         List<String> wrong = new ArrayList<>(world.rules.broken);
         for (String[] e : expectations) {
             String text = String.join(" ", List.of(e).subList(2, e.length));
             boolean holds = switch (e[1]) {
+                case "served" -> true;
                 case "done" -> world.users.jobs.get(e[2]).doneTold != null;
                 case "cancelled" -> world.users.jobs.get(e[2]).cancelTold != null;
                 case "log" -> world.log.stream().anyMatch(l -> l.contains(text));
                 case "no-log" -> world.log.stream().noneMatch(l -> l.contains(text));
                 case "no-key" -> world.store.values.keySet().stream().noneMatch(k -> k.startsWith(text));
+                case "done-by" -> world.users.jobs.get(e[2]).doneTold != null
+                        && !world.users.jobs.get(e[2]).doneTold.isAfter(Instant.EPOCH.plusSeconds(Long.parseLong(e[3])));
+                case "epochs" -> world.store.value("live/view").getAsJsonObject().get("epoch").getAsInt() <= Integer.parseInt(e[2]);
                 case "starts" -> world.rules.starts == Integer.parseInt(e[2]);
                 case "broken" -> world.rules.broken.stream().anyMatch(b -> b.contains(" " + e[2] + ": "));
                 default -> throw new IllegalArgumentException(String.join(" ", e));
@@ -116,6 +141,13 @@
                 }
             }
             case "cloud-outage" -> w.cloud.outage = a.equals("on");
+            case "deaf" -> w.deaf.add(end(w, a));
+            case "hears" -> w.deaf.remove(end(w, a));
+            case "copies" -> w.copies.put(end(w, a), Duration.ofMillis((long) (Double.parseDouble(e[4]) * 1000)));
+            case "no-copies" -> w.copies.remove(end(w, a));
+            case "unreach" -> w.workers.values().forEach(m -> w.cut(end(w, a), end(w, m.name), World.Cut.DROP));
+            case "reach" -> w.workers.values().forEach(m -> w.heal(end(w, a), end(w, m.name)));
+            case "reboot" -> w.workers.get(a).reboot();
             case "hang" -> w.workers.get(a).hang(true);
             case "wake" -> w.workers.get(a).hang(false);
             case "take" -> w.cloud.take(a);
--- a/src/test/java/org/havenford/world/TraceTest.java
+++ b/src/test/java/org/havenford/world/TraceTest.java
@@ -59,7 +59,8 @@
     /** A day drawn from a seed, as a trace; a seed that fails is kept as one. */
     private static List<String> troubles(long seed) {
         SplittableRandom r = new SplittableRandom(seed);
-        List<String> out = new ArrayList<>(List.of("seed " + seed, "team red 16 40", "team blue 0 0",
+        int nodes = r.nextInt(3) == 0 ? 7 : 3;
+        List<String> out = new ArrayList<>(List.of("seed " + seed, "nodes " + nodes, "team red 16 40", "team blue 0 0",
                 "machine large a ordinary", "machine small b ordinary", "machine large c spot", "machine small a spot"));
         for (int i = 0; i < 14; i++) {
             String id = "j-" + (100 + i);
@@ -76,17 +77,17 @@
         int at = 10;
         for (int i = 0; i < 6; i++) {
             at += 4 + r.nextInt(16);
-            String node = "node-" + r.nextInt(3);
+            String node = "node-" + r.nextInt(nodes);
             String host = "host-00000" + r.nextInt(4);
             int length = 2 + r.nextInt(28);
             String how = r.nextBoolean() ? "hold" : "drop";
-            switch (r.nextInt(8)) {
+            switch (r.nextInt(12)) {
                 case 0 -> {
                     out.add("at " + at + " crash " + node);
                     out.add("at " + at + ".3 start " + node);
                 }
                 case 1 -> {
-                    for (int n = 0; n < 3; n++) {
+                    for (int n = 0; n < nodes; n++) {
                         out.add("at " + at + "." + n + " crash node-" + n);
                         out.add("at " + (at + 3) + "." + r.nextInt(10) + " start node-" + n);
                     }
@@ -109,6 +110,25 @@
                     out.add("at " + at + " hang " + host);
                     out.add("at " + (at + length) + " wake " + host);
                 }
+                case 7 -> {
+                    out.add("at " + at + " deaf " + host);
+                    out.add("at " + (at + 2 * length) + " hears " + host);
+                }
+                case 8 -> {
+                    out.add("at " + at + " copies " + host + " " + (1 + r.nextInt(40)));
+                    out.add("at " + (at + 2 * length) + " no-copies " + host);
+                }
+                case 9 -> {
+                    out.add("at " + at + " cut " + node + " state " + how);
+                    out.add("at " + (at + length) + " heal " + node + " state");
+                    out.add("at " + at + ".2 reboot " + host);
+                }
+                case 10 -> {
+                    out.add("at " + at + " crash " + node);
+                    out.add("at " + at + ".1 start " + node);
+                    out.add("at " + at + ".1 crash node-0");
+                    out.add("at " + at + ".4 start node-0");
+                }
                 case 6 -> out.add("at " + at + " late-txns " + (1 + r.nextInt(4)) + " " + length);
                 default -> {
                     out.add("at " + at + " take " + host);
@@ -116,6 +136,7 @@
             }
         }
         out.add("until 420");
+        out.add("expect served");
         return out;
     }
 }
--- a/src/test/java/org/havenford/world/Users.java
+++ b/src/test/java/org/havenford/world/Users.java
@@ -29,6 +29,11 @@
         double due;
         boolean accepted;
         Instant cancelTold;
+        String lineup = "class";
+        Instant submitted;
+        Instant begun;
+        /** When a question about the job was answered last. */
+        Instant answered = Instant.EPOCH;
         String last = "";
         Instant doneTold;
 
@@ -59,10 +64,12 @@
             j.apart |= o.equals("apart");
             j.together |= o.equals("together");
             j.spot &= !o.equals("ordinary");
+            j.lineup = o.startsWith("class=") ? o.substring(6) : j.lineup;
             j.zone = o.startsWith("zone=") ? o.substring(5) : j.zone;
             j.urgency = o.equals("urgent") ? o : j.urgency;
             j.due = o.startsWith("due=") ? Double.parseDouble(o.substring(4)) : j.due;
         }
+        j.submitted = world.now;
         jobs.put(id, j);
         send(j);
         return j;
@@ -71,7 +78,7 @@
     static JsonObject body(Job j) {
         JsonObject o = new JsonObject();
         o.addProperty("nameId", j.id);
-        o.addProperty("lineup", "class");
+        o.addProperty("lineup", j.lineup);
         o.addProperty("crew", j.team);
         o.addProperty("shape", "batch");
         o.addProperty("urgency", j.urgency);
@@ -108,6 +115,7 @@
                     world.note(j.id + " accepted");
                 }
                 j.accepted = true;
+                j.answered = world.now;
                 poll(j);
             } else if (r.status() == 400 || r.status() == 422) {
                 world.rules.broken("forgotten", j.id + " refused with " + r.status());
@@ -132,8 +140,10 @@
             world.rules.broken("forgotten", j.id + " is answered 404");
         }
         if (r.status() != 200) {
+            world.rules.unanswered(j);
             return;
         }
+        j.answered = world.now;
         String status = JsonParser.parseString(r.body()).getAsJsonObject().get("status").getAsString();
         boolean was = j.last.equals("done") || j.last.equals("withdrawn");
         if (was && !status.equals(j.last)) {
@@ -164,6 +174,7 @@
                 world.note(id + " cancel answered " + status);
                 if (status.equals("withdrawn")) {
                     j.cancelTold = world.now;
+                    world.rules.touched();
                     j.last = "withdrawn";
                 }
             } else {
--- a/src/test/java/org/havenford/world/Worker.java
+++ b/src/test/java/org/havenford/world/Worker.java
@@ -81,6 +81,7 @@
         up = false;
         world.servers.remove(address());
         tasks.clear();
+        world.rules.touched();
     }
 
     boolean up() {
@@ -126,14 +127,24 @@
 
     private void expireIfDue() {
         if (leaseOver()) {
-            tasks.clear();
-            session++;
-            lease = world.now;
-            changed = true;
-            world.note(name + " lease over, session " + session);
+            newSession("lease over");
         }
     }
 
+    /** The machine starts over and is back at once; its tasks are gone. */
+    void reboot() {
+        newSession("back after a moment");
+    }
+
+    private void newSession(String why) {
+        tasks.clear();
+        session++;
+        lease = world.now;
+        changed = true;
+        world.rules.touched();
+        world.note(name + " " + why + ", session " + session);
+    }
+
     private void tick() {
         if (!up) {
             return;
@@ -299,5 +310,6 @@
         t.status = "exited";
         t.cause = cause;
         changed = true;
+        world.rules.touched();
     }
 }
--- a/src/test/java/org/havenford/world/World.java
+++ b/src/test/java/org/havenford/world/World.java
@@ -5,10 +5,12 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.havenford.coordination.Controller;
@@ -52,6 +54,10 @@
     final Map<String, Duration> lateCommands = new HashMap<>();
     final Map<String, Duration> lateChanges = new HashMap<>();
     private final Map<String, List<Runnable>> held = new HashMap<>();
+    /** Ends that nothing reaches, though all that they send arrives. */
+    final Set<String> deaf = new HashSet<>();
+    /** Machines whose reports arrive a second time, this much later. */
+    final Map<String, Duration> copies = new HashMap<>();
     final Map<String, Node> nodes = new LinkedHashMap<>();
     final Store store = new Store(this);
     final Cloud cloud = new Cloud(this);
@@ -115,6 +121,9 @@
 
     /** Carries a message, or holds it or drops it as the link demands. */
     private void carry(String from, String to, Runnable delivery) {
+        if (deaf.contains(to)) {
+            return;
+        }
         Cut c = cuts.get(link(from, to));
         if (c == Cut.HOLD) {
             held.computeIfAbsent(link(from, to), k -> new ArrayList<>()).add(delivery);
@@ -143,6 +152,15 @@
             });
             return;
         }
+        Duration copy = path.equals("/checkin") ? copies.get(from) : null;
+        if (copy != null) {
+            after(copy, () -> {
+                Server s = servers.get(to);
+                if (s != null) {
+                    s.request(method, path, body, reply -> { });
+                }
+            });
+        }
         carry(from, to, () -> {
             Server s = servers.get(to);
             if (s == null) {
@@ -165,6 +183,9 @@
         }
 
         void start() {
+            if (life != null) {
+                return;
+            }
             life = new Life();
             servers.put(settings.bind(), this);
             life.controller.start();
@@ -172,6 +193,9 @@
         }
 
         void crash() {
+            if (life == null) {
+                return;
+            }
             life.dead = true;
             life = null;
             servers.remove(settings.bind());
