--- a/src/main/java/org/havenford/bookkeeping/StateStore.java
+++ b/src/main/java/org/havenford/bookkeeping/StateStore.java
@@ -37,7 +37,9 @@
         WATCH,
         /** What somebody waits for. */
         USER,
-        /** Claims, releases, records. */
+        /** Claims: work that waits for its start. */
+        CLAIM,
+        /** Releases, records and the like. */
         WORK,
         /** Hints that nothing depends on. */
         SPARE
@@ -218,7 +220,7 @@
 
     /** Whether work waits for the service's limits. */
     public boolean pressed() {
-        return queued(Urgency.WORK) > 2 || !changes.has(2, loop.now());
+        return queued(Urgency.WORK) > 2 || queued(Urgency.CLAIM) > 2 || !changes.has(2, loop.now());
     }
 
     /** What was asked since the last call, for the log. */
@@ -229,7 +231,7 @@
             sent[u.ordinal()] = 0;
         }
         text.append(", changes ").append(changed).append(", conflicts ").append(conflicts).append(", refused ")
-                .append(refused).append(", given up ").append(givenUp).append(", waiting ").append(queued(Urgency.WORK))
+                .append(refused).append(", given up ").append(givenUp).append(", waiting ").append(queued(Urgency.WORK) + queued(Urgency.CLAIM))
                 .append(String.format(java.util.Locale.ROOT, ", share %.2f", shares));
         changed = 0;
         conflicts = 0;
@@ -322,9 +324,15 @@
         if (othersWait || now.isBefore(holdOff)) {
             return false;
         }
-        double spare = p.urgency == Urgency.SPARE ? 0.5 : 0;
-        return requests.has(1 + requests.size() * spare, now)
-                && (p.writes == 0 || changes.has(p.writes + changes.size() * spare, now));
+        // Accepting a job must not wait for a bucket that work has just emptied.
+        double left = switch (p.urgency) {
+            case USER -> 0;
+            case CLAIM -> 0.15;
+            case WORK -> 0.3;
+            default -> 0.5;
+        };
+        return requests.has(1 + requests.size() * left, now)
+                && (p.writes == 0 || changes.has(p.writes + changes.size() * left, now));
     }
 
     private void send(Pending p) {
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -262,13 +262,14 @@
         // A worker that is sent to its owner and comes back has not reached it. Moving the machine costs an epoch, so
         // it is asked for only after several rounds; by then an owner that many don't reach has been put to rest.
         Instant now = loop.now();
-        membership.strayed(machine, membership.owner(machine));
         Instant[] seen = strays.get(machine);
         if (seen == null || now.isAfter(seen[1].plusSeconds(15))) {
             strays.put(machine, new Instant[] {now, now, null});
             return;
         }
         seen[1] = now;
+        // One visit means nothing: a new machine asks anybody, and each change of view sends workers on.
+        membership.strayed(machine, membership.owner(machine));
         if (now.isAfter(seen[0].plus(settings.workerLease().dividedBy(3)))) {
             membership.wantMove(machine);
             strays.remove(machine);
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -41,7 +41,7 @@
     /** How long another owner may leave a planned task lying before its machines are left out of the plan. */
     private static final Duration FOREIGN_PATIENCE = Duration.ofMillis(1500);
     /** Ends are written together, so that a job's tasks that end one after the other do not cost a change each. */
-    private static final Duration GATHER = Duration.ofMillis(250);
+    private static final Duration GATHER = Duration.ofMillis(500);
     private static final Duration GATHER_PRESSED = Duration.ofMillis(1200);
     private static final Duration COPY_PATIENCE = Duration.ofSeconds(1);
     private static final Duration SHARES_EVERY = Duration.ofSeconds(1);
@@ -205,13 +205,14 @@
     }
 
     private void commit(StateStore.Txn txn, List<String> locks, Runnable onSuccess) {
-        commit(txn, locks, onSuccess, r -> { });
+        commit(txn, StateStore.Urgency.WORK, locks, onSuccess, r -> { });
     }
 
     /** {@code after} hears of every result, of a good one when our copy shows it. */
-    private void commit(StateStore.Txn txn, List<String> locks, Runnable onSuccess, Consumer<StateStore.Result> after) {
+    private void commit(StateStore.Txn txn, StateStore.Urgency urgency, List<String> locks, Runnable onSuccess,
+            Consumer<StateStore.Result> after) {
         busy.addAll(locks);
-        store.commit(txn, StateStore.Urgency.WORK, r -> {
+        store.commit(txn, urgency, r -> {
             if (r.ok()) {
                 onSuccess.run();
                 mirror.committed(txn, r.edition());
@@ -383,7 +384,7 @@
             }
         });
         each.forEach(name -> underWay.computeIfAbsent(name, n -> new ArrayList<>()).add(job.spec()));
-        commit(txn, locks, () -> {
+        commit(txn, StateStore.Urgency.CLAIM, locks, () -> {
             ended.keySet().forEach(fleet.endings()::remove);
             loop.after(Duration.ZERO, () -> machines.forEach(name -> {
                 MachineState m = fleet.state(name);
--- a/src/test/java/org/havenford/coordination/DecisionsTest.java
+++ b/src/test/java/org/havenford/coordination/DecisionsTest.java
@@ -65,6 +65,9 @@
             Operator.BadSetting e = assertThrows(Operator.BadSetting.class, () -> Operator.read(write(dir, bad)));
             assertTrue(e.getMessage().contains("late-threshold"), e.getMessage());
         }
+        assertEquals(Operator.SpeedFirst.NEVER,
+                Operator.read(write(dir, "<havenford><speed-first>never</speed-first></havenford>")).speedFirst());
+        assertThrows(Operator.BadSetting.class, () -> Operator.read(write(dir, "<havenford><speed-first>red</speed-first></havenford>")));
         assertThrows(Operator.BadSetting.class, () -> Operator.read(write(dir, "<havenford>")));
         assertThrows(Operator.BadSetting.class, () -> Operator.read(write(dir, "<!DOCTYPE x><havenford/>")));
     }
