--- a/src/main/java/org/havenford/bookkeeping/StateStore.java
+++ b/src/main/java/org/havenford/bookkeeping/StateStore.java
@@ -8,6 +8,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.havenford.protocol.Json;
 import org.havenford.transport.EventLoop;
@@ -151,6 +152,7 @@
     private Instant adjusted;
     private long changed;
     private long conflicts;
+    private final TreeMap<String, Integer> conflictsOf = new TreeMap<>();
     private long refused;
     private long givenUp;
     private Instant holdOff = Instant.MIN;
@@ -230,11 +232,12 @@
             text.append(' ').append(u.name().toLowerCase(java.util.Locale.ROOT)).append(' ').append(sent[u.ordinal()]);
             sent[u.ordinal()] = 0;
         }
-        text.append(", changes ").append(changed).append(", conflicts ").append(conflicts).append(", refused ")
+        text.append(", changes ").append(changed).append(", conflicts ").append(conflicts).append(' ').append(conflictsOf).append(", refused ")
                 .append(refused).append(", given up ").append(givenUp).append(", waiting ").append(queued(Urgency.WORK) + queued(Urgency.CLAIM))
                 .append(String.format(java.util.Locale.ROOT, ", share %.2f", shares));
         changed = 0;
         conflicts = 0;
+        conflictsOf.clear();
         refused = 0;
         givenUp = 0;
         return text.toString();
@@ -353,12 +356,26 @@
                 }
             }
             if (result.outcome == Outcome.CONFLICT) {
-                conflicts++;
+                countConflict(result);
             }
             p.done.accept(result);
         });
     }
 
+    /** By the kind of the keys that had changed, which is what a remedy starts from. */
+    private void countConflict(Result r) {
+        conflicts++;
+        try {
+            for (String key : Json.texts(r.body, "failed")) {
+                int first = key.indexOf('/');
+                int second = key.indexOf('/', first + 1);
+                conflictsOf.merge(second > 0 ? key.substring(first + 1, second) : key.substring(first + 1), 1, Integer::sum);
+            }
+        } catch (Json.BadMessage e) {
+            LOG.warn("state service: a conflict does not name its keys: {}", e.getMessage());
+        }
+    }
+
     private Result interpret(HttpCalls.Reply reply, Pending p) {
         JsonObject body = null;
         if (!reply.body().isEmpty()) {
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -98,12 +98,14 @@
     }
 
     /**
-     * What the planner is told besides the ledger: tasks that have ended without a release, claims under way by machine,
-     * and owners that have left a chunk lying.
+     * What the planner is told besides the ledger: how machines are, tasks that have ended without a release, claims under
+     * way by machine, owners that have left a chunk lying, chunks that others than their first owner may take, and
+     * whether claims get into each other's way so much that each chunk is left to its first owner where that has room.
      */
     public record Limits(Predicate<MachineRecord> usable, Function<MachineRecord, List<String>> images,
             Function<MachineRecord, MachineRecord.Condition> condition, Predicate<Job> held, Predicate<Placement> avoided,
-            Predicate<Claim> ended, Function<String, List<JobSpec>> underWay, BiPredicate<String, String> passedOver, BooleanSupplier outOfTime) {
+            Predicate<Claim> ended, Function<String, List<JobSpec>> underWay, List<String> owners,
+            BiPredicate<String, String> passedOver, Predicate<String> helped, boolean crowded, BooleanSupplier outOfTime) {
     }
 
     /** A room that takes tasks of the job at hand, and what the next task costs there. */
@@ -409,16 +411,20 @@
      * moment still agree.
      */
     private String owner(String key, int index, JobSpec s, Map<String, List<Offer>> offers, int tasks, Limits limits) {
-        List<String> owners = new ArrayList<>(offers.keySet());
+        List<String> owners = limits.owners();
         String best = null;
         double least = Double.MAX_VALUE;
         int first = (s.id().hashCode() & 0xffff) + index;
         for (int i = 0; i < owners.size(); i++) {
             String o = owners.get((first + i) % owners.size());
-            if (limits.passedOver().test(key, o)) {
+            List<Offer> offered = offers.getOrDefault(o, List.of());
+            if (offered.isEmpty() || limits.passedOver().test(key, o)) {
                 continue;
             }
-            double cost = cost(s, offers.get(o), tasks) + (i == 0 ? 0 : CHANGE_OF_OWNER * tasks);
+            if (limits.crowded()) {
+                return i == 0 || limits.helped().test(key) ? o : null;
+            }
+            double cost = cost(s, offered, tasks) + (i == 0 ? 0 : CHANGE_OF_OWNER * tasks);
             if (cost < least) {
                 least = cost;
                 best = o;
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -44,6 +44,12 @@
     private static final Duration GATHER = Duration.ofMillis(500);
     private static final Duration GATHER_PRESSED = Duration.ofMillis(1200);
     private static final Duration COPY_PATIENCE = Duration.ofSeconds(1);
+    /** After a claim has failed because of another's, each chunk is left to its first owner for a while. */
+    private static final Duration CROWDED = Duration.ofSeconds(5);
+    private static final Duration HELP_AFTER = Duration.ofMillis(400);
+    private static final int MOST_WITHOUT_ROOM = 2000;
+    /** Under pressure room is gathered, so that one claim takes several tasks of a chunk. */
+    private static final Duration PLACE_PRESSED = Duration.ofMillis(400);
     private static final Duration SHARES_EVERY = Duration.ofSeconds(1);
     /** Parts of an even share of a team's limit in which shares are taken. */
     private static final int LUMPS = 4;
@@ -69,6 +75,10 @@
     private final Set<String> shortTeams = new HashSet<>();
     /** Claims under way, by machine: their room is taken already. */
     private final Map<String, List<JobSpec>> underWay = new HashMap<>();
+    /** Chunks whose first owner had no room, and since when; kept while claims are crowded. */
+    private final Map<String, Instant> withoutRoom = new HashMap<>();
+    private Instant crowdedUntil = Instant.MIN;
+    private Instant nextPlace = Instant.MIN;
     private Instant nextShares = Instant.MIN;
     private final Map<String, Backoff> backoffs = new HashMap<>();
     private final Histogram roundMicros = new Histogram(60_000_000L, 2);
@@ -223,6 +233,7 @@
             }
             after.accept(r);
             if (r.outcome() == StateStore.Outcome.CONFLICT) {
+                crowdedUntil = urgency == StateStore.Urgency.CLAIM ? loop.now().plus(CROWDED) : crowdedUntil;
                 outdated(r, locks);
                 return;
             }
@@ -266,12 +277,17 @@
     // ---- claims
 
     private void place(Instant start) {
+        if (start.isBefore(nextPlace)) {
+            return;
+        }
+        nextPlace = store.pressed() ? start.plus(PLACE_PRESSED) : start;
         Instant deadline = start.plus(operator.roundBudget());
         String self = settings.node();
         Planner.Limits limits = new Planner.Limits(fleet::usable, fleet::images, fleet::condition, this::held,
                 p -> fleet.avoided(p.task(), p.machine()), fleet.endings()::containsKey,
-                m -> underWay.getOrDefault(m, List.of()),
+                m -> underWay.getOrDefault(m, List.of()), List.copyOf(membership.view().active()),
                 (key, owner) -> waits.containsKey(key) && waits.get(key).passedOver.contains(owner),
+                key -> start.isAfter(withoutRoom.computeIfAbsent(key, k -> start).plus(HELP_AFTER)), start.isBefore(crowdedUntil),
                 () -> loop.now().isAfter(deadline));
         Planner.Plan plan = planner.plan(loop.timeOfDay(), limits);
         Map<String, List<Planner.Placement>> mine = new LinkedHashMap<>();
@@ -287,6 +303,9 @@
             }
         }
         waits.entrySet().removeIf(w -> !foreign.contains(w.getKey()) && start.isAfter(w.getValue().since.plus(FOREIGN_PATIENCE.multipliedBy(4))));
+        if (withoutRoom.size() > MOST_WITHOUT_ROOM) {
+            withoutRoom.clear();
+        }
         mine.forEach(this::claim);
         plan.preempted().forEach(fleet::preempt);
     }
