--- a/src/main/java/org/havenford/bookkeeping/Job.java
+++ b/src/main/java/org/havenford/bookkeeping/Job.java
@@ -12,7 +12,7 @@
 
 /** An accepted job that is not over, with its tasks. */
 public final class Job {
-    private static final int LEAST_CHUNK = 8;
+    private static final int LEAST_CHUNK = 16;
     private final JobSpec spec;
     private final Instant submitted;
     private final int chunkSize;
--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -6,8 +6,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Ledger;
@@ -25,6 +27,8 @@
     record Want(JobSpec spec, double tasks) {
     }
 
+    private static final double AWAITED = 1.5;
+
     private Demand() {
     }
 
@@ -107,6 +111,13 @@
             Predicate<Kind> exhausted, Map<Kind, Integer> have) {
         Object2DoubleOpenHashMap<Kind> out = new Object2DoubleOpenHashMap<>();
         List<Want> sorted = new ArrayList<>(wants);
+        Set<String> onlyChoice = new HashSet<>();
+        for (Want w : wants) {
+            List<MachineType> fit = types.values().stream().filter(t -> allowed(w.spec(), t, false)).toList();
+            if (fit.size() == 1) {
+                onlyChoice.add(fit.get(0).name());
+            }
+        }
         sorted.sort(Comparator.comparingLong((Want w) -> types.values().stream().filter(t -> allowed(w.spec(), t, false)).count())
                 .thenComparing(w -> w.spec().id()));
         for (Want w : sorted) {
@@ -119,7 +130,9 @@
                     }
                 }
             }
-            kinds.sort(Comparator.comparingDouble((Kind k) -> cost(s, types.get(k.type()), k.spot())));
+            // What others can't do without is dearer than its price.
+            kinds.sort(Comparator.comparingDouble((Kind k) -> cost(s, types.get(k.type()), k.spot())
+                    * (kinds.size() > 2 && onlyChoice.contains(k.type()) ? AWAITED : 1)));
             double tasks = w.tasks();
             for (Kind k : kinds) {
                 int slots = slots(s, types.get(k.type()));
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -778,7 +778,7 @@
         // A machine that is gone need not be told of: its record says so.
         boolean conditions = t.machines == null || what.entrySet().stream().anyMatch(
                 e -> !t.machines.containsKey(e.getKey()) || e.getValue().condition() != t.machines.get(e.getKey()).condition());
-        if (now.isBefore(t.at.plus(conditions ? TELL_EVERY : TELL_IMAGES_EVERY))) {
+        if (now.isBefore(t.at.plus(conditions && !store.pressed() ? TELL_EVERY : TELL_IMAGES_EVERY))) {
             return;
         }
         StateStore.Txn txn = new StateStore.Txn().set(Keys.heard(settings.node(), part), new Heard(loop.timeOfDay(), what).toJson());
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -1,6 +1,5 @@
 package org.havenford.coordination;
 
-import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -116,6 +115,8 @@
     private static final double LARGER_THAN_NEEDED = 2;
     /** The same while such tasks are waiting. */
     private static final double LARGE_AND_AWAITED = 3;
+    /** Part of a run from which on a fetch counts as long. */
+    private static final double LONG_FETCH = 0.3;
     /** Likewise to let ordinary machines, which cost more, run empty and be returned. */
     private static final double ORDINARY = 0.3;
     /** Seconds of fetching that a second of running is worth on a machine that can't be taken back. */
@@ -126,6 +127,8 @@
     /** The same for a task that finds no room there. */
     private static final double NO_ROOM = 30;
 
+    private static final Duration HOPELESS = Duration.ofSeconds(2);
+    private static final Duration AFTER_ALL = Duration.ofMinutes(10);
     private static final Duration STARVING = Duration.ofSeconds(90);
 
     private static final Duration PRESSING_BEFORE = Duration.ofSeconds(7);
@@ -206,7 +209,13 @@
         Duration run = j.medianRun();
         Instant latest = null;
         if (j.due() != null) {
-            latest = j.due().minus(run == null ? j.spec().guess() : run);
+            Duration whole = run == null ? j.spec().guess() : run;
+            latest = j.due().minus(whole);
+            if (now.isAfter(latest.plus(HOPELESS))) {
+                // It can't be in time any more: those that can go before it, but it is not left to the end of days.
+                latest = j.submitted().plus(j.spec().deadline().multipliedBy(3).dividedBy(2)).minus(whole);
+                latest = now.isAfter(latest) ? j.submitted().plus(AFTER_ALL) : latest;
+            }
         }
         for (Settings.Objective o : settings.objectives()) {
             if (o.lineup().equals(j.spec().lineup()) && o.within() != null && o.kind().equals("wait")) {
@@ -291,7 +300,6 @@
         if (rooms.isEmpty()) {
             return out;
         }
-        Object2ObjectOpenHashMap<String, Amount> used = new Object2ObjectOpenHashMap<>();
         List<Job> order = order(now);
         awaited = awaited(order);
         int from = 0;
@@ -309,31 +317,98 @@
                 open.add(r);
             }
         }
+        Round round = new Round(now, limits, open, out);
+        boolean kept = false;
         for (int k = 0; k < order.size(); k++) {
             Job job = order.get((from + k) % order.size());
             if (k > 0 && limits.outOfTime().getAsBoolean()) {
                 resumeAt = job.id();
-                break;
+                return out;
+            }
+            if (limits.held().test(job)) {
+                continue;
             }
-            if (!limits.held().test(job)) {
-                place(job, now, limits, open, used, out);
+            boolean sparing = sparing(job);
+            if (sparing && !kept) {
+                // Jobs whose images take long keep the machines that have them, as far as they need them for their deadlines.
+                kept = true;
+                for (Job j : order) {
+                    if (sparing(j) && !limits.held().test(j)) {
+                        place(j, round, true, needed(j, now) - j.claimCount());
+                    }
+                }
+            }
+            place(job, round, false, sparing ? needed(job, now) - job.claimCount() - round.placed(job) : Integer.MAX_VALUE);
+        }
+        if (kept) {
+            // What nobody else has taken.
+            for (Job j : order) {
+                if (sparing(j) && !limits.held().test(j) && !limits.outOfTime().getAsBoolean()) {
+                    place(j, round, true, Integer.MAX_VALUE);
+                }
             }
         }
         return out;
     }
 
-    private void place(Job job, Instant now, Limits limits, List<Room> open, Map<String, Amount> used, Plan out) {
+    /** What is decided in one round, and what it is decided on. */
+    private static final class Round {
+        private final Instant now;
+        private final Limits limits;
+        private final List<Room> open;
+        private final Plan out;
+        private final Map<String, Amount> used = new HashMap<>();
+        private final Map<String, String> ownerOf = new HashMap<>();
+        private final Map<String, Set<TaskId>> taken = new HashMap<>();
+
+        Round(Instant now, Limits limits, List<Room> open, Plan out) {
+            this.now = now;
+            this.limits = limits;
+            this.open = open;
+            this.out = out;
+        }
+
+        int placed(Job job) {
+            return taken.getOrDefault(job.id(), Set.of()).size();
+        }
+    }
+
+    private double fetchAlone(JobSpec s) {
+        double rate = ledger.types().values().stream().filter(s::fits).mapToDouble(MachineType::fetchGbPerS).max().orElse(1);
+        return s.imageGb() / Math.max(0.01, rate);
+    }
+
+    private static double runSeconds(Job j) {
+        Duration median = j.medianRun();
+        return Math.max(0.5, (median == null ? j.spec().guess() : median).toMillis() / 1e3);
+    }
+
+    /** A job with time to spare, whose image takes long against a run: it is cheaper on few machines that have it. */
+    private boolean sparing(Job j) {
+        return j.due() != null && j.spec().priority().compareTo(JobSpec.Priority.NORMAL) >= 0
+                && fetchAlone(j.spec()) >= LONG_FETCH * runSeconds(j);
+    }
+
+    /** Tasks that must run side by side for the job to be in time; of one that can't be, a third. */
+    private int needed(Job j, Instant now) {
+        double run = runSeconds(j) * 1.15;
+        double time = Duration.between(now, j.due()).toMillis() / 1e3 - fetchAlone(j.spec()) * (j.claimCount() == 0 ? 1 : 0);
+        double turns = time < run ? 3 : Math.floor(time / run);
+        return (int) Math.ceil((j.spec().tasks() - j.doneCount()) / turns);
+    }
+
+    /** {@code cap} is how many tasks may be added; with {@code warm}, only where the image is or is on its way. */
+    private void place(Job job, Round round, boolean warm, int cap) {
         JobSpec s = job.spec();
         Settings.Team team = settings.teams().get(s.team());
         Amount one = new Amount(s.cpus(), s.cards());
-        int quota = job.pendingCount();
+        int quota = Math.min(cap, job.pendingCount() - round.placed(job));
         if (team != null && team.limited()) {
-            Amount u = used.computeIfAbsent(s.team(), ledger::usage);
-            quota = Math.min(quota, fitting(team, u, one));
+            quota = Math.min(quota, fitting(team, round.used.computeIfAbsent(s.team(), ledger::usage), one));
         }
         if (job.errors() >= 3) {
             // A job that fails everywhere keeps one task going, so that it does not eat the fleet.
-            quota = Math.min(quota, Math.max(0, 1 - job.claimCount()));
+            quota = Math.min(quota, Math.max(0, 1 - job.claimCount() - round.placed(job)));
         }
         if (quota <= 0) {
             return;
@@ -347,10 +422,11 @@
         }
         String onlyZone = null;
         if (s.together()) {
-            onlyZone = zones.isEmpty() ? bestZone(s, open, job.pendingCount()) : zones.keySet().iterator().next();
+            onlyZone = zones.isEmpty() ? bestZone(s, round.open, job.pendingCount()) : zones.keySet().iterator().next();
         }
-        Map<String, List<Offer>> offers = offers(s, open, onlyZone);
-        int before = out.placements().size();
+        Map<String, List<Offer>> offers = offers(job, round, onlyZone, warm);
+        Set<TaskId> taken = round.taken.computeIfAbsent(job.id(), k -> new HashSet<>());
+        int before = taken.size();
         int unplaced = 0;
         for (int i = 0; i < job.chunkCount() && quota > 0; i++) {
             Chunk chunk = job.chunk(i);
@@ -359,19 +435,30 @@
             }
             String key = Keys.tasks(job.id(), i);
             List<TaskId> pending = chunk.pending();
+            pending.removeAll(taken);
+            if (pending.isEmpty()) {
+                continue;
+            }
             int placed = 0;
-            String chosen = offers.isEmpty() ? null : owner(key, i, s, offers, Math.min(quota, pending.size()), limits);
-            if (chosen != null) {
-                placed = fill(chunk, pending, quota, s, offers.get(chosen), zones, limits, out);
-                quota -= placed;
+            if (!offers.isEmpty()) {
+                String chosen = round.ownerOf.get(key);
+                if (chosen == null) {
+                    chosen = owner(key, i, s, offers, Math.min(quota, pending.size()), round.limits);
+                }
+                if (chosen != null) {
+                    round.ownerOf.put(key, chosen);
+                    placed = fill(chunk, pending, quota, s, offers.getOrDefault(chosen, List.of()), zones, round);
+                    quota -= placed;
+                }
             }
             unplaced += Math.min(quota, pending.size() - placed);
         }
-        if (unplaced > 0 && pressing(job, now) && offers.values().stream().allMatch(l -> l.stream().noneMatch(o -> o.room().fits(s)))) {
-            preempt(s, unplaced, now, onlyZone, limits, out);
+        if (unplaced > 0 && !warm && pressing(job, round.now)
+                && offers.values().stream().allMatch(l -> l.stream().noneMatch(o -> o.room().fits(s)))) {
+            preempt(s, unplaced, round.now, onlyZone, round.limits, round.out);
         }
         if (team != null && team.limited()) {
-            used.merge(s.team(), one.times(out.placements().size() - before), Amount::plus);
+            round.used.merge(s.team(), one.times(taken.size() - before), Amount::plus);
         }
     }
 
@@ -387,12 +474,17 @@
     }
 
     /** What each owner's machines offer to tasks of a job, the best first. */
-    private Map<String, List<Offer>> offers(JobSpec s, List<Room> open, String onlyZone) {
+    private Map<String, List<Offer>> offers(Job job, Round round, String onlyZone, boolean warm) {
+        JobSpec s = job.spec();
         double smallest = ledger.types().values().stream().filter(s::fits).mapToDouble(MachineType::cpus).min().orElse(0);
+        // A large machine that others wait for is not taken while there is time to wait for a small one.
+        boolean mayTakeLarge = !round.now.isBefore(latestStart(job, round.now).minus(PRESSING_BEFORE));
         Map<String, List<Offer>> offers = new TreeMap<>();
-        for (Room room : open) {
+        for (Room room : round.open) {
             MachineRecord m = room.machine;
-            if (!room.fits(s) || !s.allows(room.type, m.zone(), m.spot()) || onlyZone != null && !onlyZone.equals(m.zone())) {
+            if (!room.fits(s) || !s.allows(room.type, m.zone(), m.spot()) || onlyZone != null && !onlyZone.equals(m.zone())
+                    || warm && !room.images.contains(s.image()) && !room.fetching.contains(s.image())
+                    || !mayTakeLarge && room.type.cpus() > smallest && awaited.contains(room.type.name())) {
                 continue;
             }
             double score = room.fetchSeconds(s) + (room.cpus - s.cpus()) / room.type.cpus()
@@ -448,7 +540,7 @@
     }
 
     private int fill(Chunk chunk, List<TaskId> pending, int most, JobSpec s, List<Offer> offers, Map<String, Integer> zones,
-            Limits limits, Plan out) {
+            Round round) {
         int placed = 0;
         for (TaskId task : pending) {
             if (placed >= most) {
@@ -459,13 +551,14 @@
                 String zone = room.machine.zone();
                 if (!room.fits(s) || s.apart() && zones.getOrDefault(zone, 0) + zones.getOrDefault("?", 0) >= s.zoneCap()
                         || room.machine.name().equals(chunk.lateOn(task.index()))
-                        || limits.avoided().test(new Placement(task, room.machine.name()))) {
+                        || round.limits.avoided().test(new Placement(task, room.machine.name()))) {
                     continue;
                 }
                 room.take(s);
                 stale.add(room.machine.name());
                 zones.merge(zone, 1, Integer::sum);
-                out.placements().add(new Placement(task, room.machine.name()));
+                round.out.placements().add(new Placement(task, room.machine.name()));
+                round.taken.get(s.id()).add(task);
                 placed++;
                 break;
             }
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -42,14 +42,13 @@
     private static final Duration FOREIGN_PATIENCE = Duration.ofMillis(1500);
     /** Ends are written together, so that a job's tasks that end one after the other do not cost a change each. */
     private static final Duration GATHER = Duration.ofMillis(500);
-    private static final Duration GATHER_PRESSED = Duration.ofMillis(1200);
+    private static final Duration GATHER_PRESSED = Duration.ofSeconds(4);
     private static final Duration COPY_PATIENCE = Duration.ofSeconds(1);
     /** After a claim has failed because of another's, each chunk is left to its first owner for a while. */
     private static final Duration CROWDED = Duration.ofSeconds(5);
-    private static final Duration HELP_AFTER = Duration.ofMillis(400);
-    private static final int MOST_WITHOUT_ROOM = 2000;
+    private static final Duration HELP_AFTER = Duration.ofMillis(1500);
     /** Under pressure room is gathered, so that one claim takes several tasks of a chunk. */
-    private static final Duration PLACE_PRESSED = Duration.ofMillis(400);
+    private static final Duration PLACE_PRESSED = Duration.ofMillis(500);
     private static final Duration SHARES_EVERY = Duration.ofSeconds(1);
     /** Parts of an even share of a team's limit in which shares are taken. */
     private static final int LUMPS = 4;
@@ -75,8 +74,8 @@
     private final Set<String> shortTeams = new HashSet<>();
     /** Claims under way, by machine: their room is taken already. */
     private final Map<String, List<JobSpec>> underWay = new HashMap<>();
-    /** Chunks whose first owner had no room, and since when; kept while claims are crowded. */
-    private final Map<String, Instant> withoutRoom = new HashMap<>();
+    /** Chunks whose first owner had no room: first and last time that this was seen in a row. */
+    private final Map<String, Instant[]> withoutRoom = new HashMap<>();
     private Instant crowdedUntil = Instant.MIN;
     private Instant nextPlace = Instant.MIN;
     private Instant nextShares = Instant.MIN;
@@ -287,7 +286,7 @@
                 p -> fleet.avoided(p.task(), p.machine()), fleet.endings()::containsKey,
                 m -> underWay.getOrDefault(m, List.of()), List.copyOf(membership.view().active()),
                 (key, owner) -> waits.containsKey(key) && waits.get(key).passedOver.contains(owner),
-                key -> start.isAfter(withoutRoom.computeIfAbsent(key, k -> start).plus(HELP_AFTER)), start.isBefore(crowdedUntil),
+                key -> helped(key, start), start.isBefore(crowdedUntil),
                 () -> loop.now().isAfter(deadline));
         Planner.Plan plan = planner.plan(loop.timeOfDay(), limits);
         Map<String, List<Planner.Placement>> mine = new LinkedHashMap<>();
@@ -303,13 +302,18 @@
             }
         }
         waits.entrySet().removeIf(w -> !foreign.contains(w.getKey()) && start.isAfter(w.getValue().since.plus(FOREIGN_PATIENCE.multipliedBy(4))));
-        if (withoutRoom.size() > MOST_WITHOUT_ROOM) {
-            withoutRoom.clear();
-        }
+        withoutRoom.values().removeIf(w -> w[1].isBefore(start.minus(HELP_AFTER)));
         mine.forEach(this::claim);
         plan.preempted().forEach(fleet::preempt);
     }
 
+    /** Whether a chunk's first owner has had no room for so long that another may take some of it. */
+    private boolean helped(String key, Instant now) {
+        Instant[] since = withoutRoom.computeIfAbsent(key, k -> new Instant[] {now, now});
+        since[1] = now;
+        return now.isAfter(since[0].plus(HELP_AFTER));
+    }
+
     private boolean held(Job job) {
         int errors = job.errors();
         if (errors == 0) {
