A restarted controller no longer takes the whole fleet for machines that never came up

Also: an owner without offers in a later pass over a job no longer ends the round with an exception, and a view must be 12 s old before a controller is put to rest.

--- a/src/main/java/org/havenford/bookkeeping/Ledger.java
+++ b/src/main/java/org/havenford/bookkeeping/Ledger.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -200,6 +201,7 @@
     private void batchChanged(String name, MachineBatch after) {
         MachineBatch before = after == null ? batches.remove(name) : batches.put(name, after);
         Set<String> touched = new TreeSet<>();
+        Set<String> gone = new HashSet<>();
         if (before != null) {
             for (String m : before.machines().keySet()) {
                 touched.add(m);
@@ -207,6 +209,7 @@
                 of.remove(name);
                 if (of.isEmpty()) {
                     batchesOf.remove(m);
+                    gone.add(m);
                 }
             }
         }
@@ -216,6 +219,8 @@
                 batchesOf.computeIfAbsent(m, k -> new TreeSet<>()).add(name);
             }
         }
+        gone.removeIf(batchesOf::containsKey);
+        said.keySet().removeAll(gone);
         touched.forEach(this::compose);
     }
 
@@ -234,9 +239,8 @@
     private void compose(String machine) {
         Set<String> of = batchesOf.get(machine);
         MachineRecord after = null;
-        if (of == null) {
-            said.remove(machine);
-        } else {
+        // While keys come one by one, owners' words come before the batches: they are kept until the machine goes.
+        if (of != null) {
             MachineBatch b = batches.get(of.iterator().next());
             MachineBatch.Service service = MachineBatch.Service.IN_SERVICE;
             for (String name : of) {
--- a/src/main/java/org/havenford/coordination/Membership.java
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -32,6 +32,8 @@
     private static final int MAX_MOVES = 60;
     /** A worker that is sent to its owner and comes back within this has not reached it. */
     private static final Duration STRAYING = Duration.ofSeconds(8);
+    /** After a change of the view workers need time to find their owners. */
+    private static final Duration SETTLING = Duration.ofSeconds(12);
     /** Part of a member's machines that must stray before it is taken to be out of their reach. */
     private static final double OUT_OF_REACH = 0.125;
     private static final int LEAST_STRAYS = 2;
@@ -277,7 +279,7 @@
      */
     private String outOfReach() {
         Instant now = loop.now();
-        if (view.active().size() < 2 || now.isBefore(viewSince.plus(STRAYING)) || strays.isEmpty()) {
+        if (view.active().size() < 2 || now.isBefore(viewSince.plus(SETTLING)) || strays.isEmpty()) {
             return null;
         }
         String worst = null;
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -445,9 +445,9 @@
                 if (chosen == null) {
                     chosen = owner(key, i, s, offers, Math.min(quota, pending.size()), round.limits);
                 }
-                if (chosen != null) {
+                if (chosen != null && offers.containsKey(chosen)) {
                     round.ownerOf.put(key, chosen);
-                    placed = fill(chunk, pending, quota, s, offers.getOrDefault(chosen, List.of()), zones, round);
+                    placed = fill(chunk, pending, quota, s, offers.get(chosen), zones, round);
                     quota -= placed;
                 }
             }
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -43,6 +43,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(4);
     private static final Duration AVERAGE_OVER = Duration.ofSeconds(90);
     private static final Duration SUSTAINED_OVER = Duration.ofSeconds(8);
+    private static final Duration SETTLING = Duration.ofSeconds(20);
     private static final Duration SIZE_EVERY = Duration.ofMillis(500);
     /** Machines that go are gathered, since each change of a batch fails the claims under way on its other machines. */
     private static final Duration TRIM_EVERY = Duration.ofSeconds(2);
@@ -89,6 +90,7 @@
     private String typesText = "";
     private long counter;
     private boolean active;
+    private Instant activeSince = Instant.MIN;
 
     public Provisioner(EventLoop loop, HttpCalls calls, Settings settings, Operator operator, Ledger ledger, Mirror mirror,
             StateStore store, Membership membership, Runnable wake) {
@@ -114,6 +116,7 @@
         Instant now = loop.now();
         if (!active) {
             active = true;
+            activeSince = now;
             inFlight.clear();
             busyBatches.clear();
             goneNow.clear();
@@ -345,6 +348,10 @@
         Duration boot = t == null ? Duration.ofSeconds(60) : t.boot();
         switch (r.condition()) {
             case BOOTING:
+                // A new provisioner first lets the owners say what they hear.
+                if (now.isBefore(activeSince.plus(SETTLING)) || !ledger.claimsOn(r.name()).isEmpty()) {
+                    return null;
+                }
                 return age(r).compareTo(boot.multipliedBy(3).plusSeconds(20)) > 0 ? "it does not come up" : null;
             case FAULTY:
                 return ledger.claimsOn(r.name()).isEmpty() ? "tasks of several jobs failed on it" : null;
