--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -28,6 +28,8 @@
     }
 
     private static final double AWAITED = 1.5;
+    /** Part of the wait that a class allows that is used to run its tasks one after the other. */
+    private static final double FOLLOWING = 0.5;
 
     private Demand() {
     }
@@ -66,7 +68,9 @@
                 if (time >= run) {
                     tasks = left / Math.max(1, Math.floor(time * 0.8 / run));
                 } else {
-                    tasks = left * run / (run + boot(s, ledger));
+                    // Where starts may wait, tasks can follow each other on fewer machines.
+                    double wait = startWithin(s, settings);
+                    tasks = left * run / (run + boot(s, ledger)) / (1 + FOLLOWING * Math.min(1, wait / run));
                 }
                 tasks = Math.max(tasks, j.claimCount());
             }
@@ -84,6 +88,12 @@
         return out;
     }
 
+    /** Seconds within which the class's tasks should start; 0 where nothing is said. */
+    private static double startWithin(JobSpec s, Settings settings) {
+        return settings.objectives().stream().filter(o -> o.kind().equals("wait") && o.lineup().equals(s.lineup()) && o.within() != null)
+                .mapToDouble(o -> o.within().toMillis() / 1e3).min().orElse(0);
+    }
+
     private static double boot(JobSpec s, Ledger ledger) {
         return ledger.types().values().stream().filter(s::fits).mapToDouble(t -> t.boot().toMillis() / 1e3).min().orElse(60);
     }
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -49,6 +49,8 @@
         double mem;
         final Set<String> images;
         final List<Claim> claims = new ArrayList<>();
+        /** Work of this priority is about to take what room there is; it is not for lower work meanwhile. */
+        JobSpec.Priority awaitedBy;
         /** Images that claims on this machine may still be fetching. */
         final Set<String> fetching = new HashSet<>(4);
 
@@ -128,7 +130,7 @@
     private static final double NO_ROOM = 30;
 
     private static final Duration HOPELESS = Duration.ofSeconds(2);
-    private static final Duration AFTER_ALL = Duration.ofMinutes(10);
+    private static final Duration AFTER_ALL = Duration.ofMinutes(5);
     private static final Duration STARVING = Duration.ofSeconds(90);
 
     private static final Duration PRESSING_BEFORE = Duration.ofSeconds(7);
@@ -314,6 +316,7 @@
         List<Room> open = new ArrayList<>();
         for (Room r : rooms.values()) {
             if (r.cpus > 1e-6 && limits.usable().test(r.machine)) {
+                r.awaitedBy = null;
                 open.add(r);
             }
         }
@@ -453,8 +456,7 @@
             }
             unplaced += Math.min(quota, pending.size() - placed);
         }
-        if (unplaced > 0 && !warm && pressing(job, round.now)
-                && offers.values().stream().allMatch(l -> l.stream().noneMatch(o -> o.room().fits(s)))) {
+        if (unplaced > 0 && !warm && !hold(s, offers, unplaced) && pressing(job, round.now)) {
             preempt(s, unplaced, round.now, onlyZone, round.limits, round.out);
         }
         if (team != null && team.limited()) {
@@ -462,6 +464,25 @@
         }
     }
 
+    /**
+     * Rooms of owners that a chunk is not given to this time wait for its tasks all the same: lower work that took them
+     * would only be stopped again. Whether there are any.
+     */
+    private static boolean hold(JobSpec s, Map<String, List<Offer>> offers, int tasks) {
+        int left = tasks;
+        boolean any = false;
+        for (List<Offer> l : offers.values()) {
+            for (Offer o : l) {
+                if (left > 0 && o.room().fits(s)) {
+                    any = true;
+                    left -= o.room().slots(s);
+                    o.room().awaitedBy = s.priority();
+                }
+            }
+        }
+        return any;
+    }
+
     private static int fitting(Settings.Team team, Amount used, Amount one) {
         double n = Integer.MAX_VALUE;
         if (team.cpusMax() > 0 && one.cpus() > 0) {
@@ -483,6 +504,7 @@
         for (Room room : round.open) {
             MachineRecord m = room.machine;
             if (!room.fits(s) || !s.allows(room.type, m.zone(), m.spot()) || onlyZone != null && !onlyZone.equals(m.zone())
+                    || room.awaitedBy != null && room.awaitedBy.compareTo(s.priority()) < 0
                     || warm && !room.images.contains(s.image()) && !room.fetching.contains(s.image())
                     || !mayTakeLarge && room.type.cpus() > smallest && awaited.contains(room.type.name())) {
                 continue;
@@ -656,7 +678,7 @@
                 || Duration.between(c.at(), now).compareTo(MOST_LOST) > 0) {
             return false;
         }
-        return j.due() == null || now.plus(AGAIN).isBefore(latestStart(j, now));
+        return j.due() == null || now.plus(AGAIN).plusMillis((long) (runSeconds(j) * 1000)).isBefore(j.due());
     }
 
     /** The zone in which most tasks of a job that must stay together find room. */
