Refused calls to the state service go again more slowly each time; limits a tenth as high work

Cause: a lease or watch that was refused for the service's limit went again after 20 ms, and seven controllers used a small limit up with such calls alone: in the new test nothing was ever accepted (82,122 refusals in 300 s).

--- a/src/main/java/org/havenford/bookkeeping/Mirror.java
+++ b/src/main/java/org/havenford/bookkeeping/Mirror.java
@@ -150,7 +150,7 @@
 
     /** A watch returns with each change, and each opening is a request: changes are gathered for as long as it takes. */
     private Duration gap() {
-        return Duration.ofMillis((long) Math.max(20, Math.min(500, 1000 / (WATCHING * store.evenRequestRate()))));
+        return Duration.ofMillis((long) Math.max(20, Math.min(2000, 1000 / (WATCHING * store.evenRequestRate()))));
     }
 
     private void forgetTombstones() {
--- a/src/main/java/org/havenford/bookkeeping/StateStore.java
+++ b/src/main/java/org/havenford/bookkeeping/StateStore.java
@@ -29,6 +29,7 @@
     /** Part of the service's limits that the controllers use together when each keeps to its even share. */
     private static final double SAFETY = 0.92;
     private static final Duration ADJUST_EVERY = Duration.ofSeconds(1);
+    private static final int MOST_BACK_OFF = 10;
     private static final Duration QUIET = Duration.ofSeconds(2);
 
     public enum Urgency {
@@ -155,7 +156,9 @@
     private final TreeMap<String, Integer> conflictsOf = new TreeMap<>();
     private long refused;
     private long givenUp;
+    private int refusedInARow;
     private Instant holdOff = Instant.MIN;
+    private Instant leaseHoldOff = Instant.MIN;
 
     public StateStore(EventLoop loop, HttpCalls calls, String address, double rps, double writeRps, int sharers) {
         this.loop = loop;
@@ -207,7 +210,9 @@
     private void wasRefused() {
         Instant now = loop.now();
         refused++;
-        holdOff = now.plusMillis(100);
+        refusedInARow++;
+        holdOff = now.plusMillis(100L * Math.min(MOST_BACK_OFF, refusedInARow));
+        leaseHoldOff = now.plusMillis(60);
         if (now.isAfter(lastRefusal.plus(ADJUST_EVERY))) {
             shares = Math.max(0.7, shares * 0.75);
             applyShare();
@@ -292,6 +297,7 @@
         Instant now = loop.now();
         adjust(now);
         boolean waits = false;
+        boolean later = false;
         for (Urgency u : Urgency.values()) {
             ArrayDeque<Pending> queue = queues.get(u.ordinal());
             while (!queue.isEmpty()) {
@@ -303,7 +309,8 @@
                     continue;
                 }
                 if (!may(p, now, waits)) {
-                    waits = true;
+                    waits |= u != Urgency.LEASE && u != Urgency.WATCH;
+                    later = true;
                     usedUp |= u != Urgency.SPARE;
                     break;
                 }
@@ -313,16 +320,22 @@
                 send(p);
             }
         }
-        if (waits && !pumping) {
+        if (later && !pumping) {
             pumping = true;
             loop.after(Duration.ofMillis(10), this::pump);
         }
     }
 
-    /** A renewal never waits for the budget: losing the lease costs far more than one refused call. */
+    /**
+     * A renewal never waits for the budget: losing the lease costs far more than one refused call. After a refusal it waits
+     * a moment all the same, and the rest for longer each time: calls that go again at once use up what limit there is.
+     */
     private boolean may(Pending p, Instant now, boolean othersWait) {
-        if (p.urgency == Urgency.LEASE || p.urgency == Urgency.WATCH) {
-            return true;
+        if (p.urgency == Urgency.LEASE) {
+            return !now.isBefore(leaseHoldOff);
+        }
+        if (p.urgency == Urgency.WATCH) {
+            return !now.isBefore(holdOff);
         }
         if (othersWait || now.isBefore(holdOff)) {
             return false;
@@ -355,6 +368,7 @@
                     return;
                 }
             }
+            refusedInARow = 0;
             if (result.outcome == Outcome.CONFLICT) {
                 countConflict(result);
             }
--- a/src/test/java/org/havenford/world/GrownTest.java
+++ b/src/test/java/org/havenford/world/GrownTest.java
@@ -73,6 +73,29 @@
         assertTrue(waited < 10, "the longest wait for a first start is " + waited + " s; " + counts);
     }
 
+    /** Limits a tenth as high make the service slow, not broken. */
+    @Test
+    void aServiceWithATenthOfTheLimits() {
+        String team = "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":24}";
+        String workers = "{\"report_s\":5,\"lease_s\":30,\"cancel_s\":60}";
+        String state = "{\"rps\":25,\"write_rps\":10,\"value_kb\":8,\"txn_ops\":12}";
+        World world = new World(13, Trace.settings(0, NODES, team, workers, state));
+        for (int i = 0; i < NODES; i++) {
+            world.addNode(Trace.settings(i, NODES, team, workers, state));
+        }
+        for (String zone : List.of("a", "b", "c")) {
+            world.cloud.boot("large", zone, false, Duration.ofMillis(100));
+        }
+        for (int i = 0; i < 10; i++) {
+            String id = "j-" + (1000 + i);
+            world.at(10 + 5 * i, () -> world.users.submit(id, "red", 6, 4, 8, List.of()));
+        }
+        world.runUntil(300);
+        assertEquals(List.of(), world.rules.broken);
+        assertTrue(world.users.jobs.values().stream().allMatch(j -> j.doneTold != null), () -> "all jobs are done: " + world.store.requests + " " + world.store.refused + " "
+                + world.store.changesOf + " " + world.users.jobs.values().stream().map(j -> j.id + j.accepted + j.begun + j.doneTold).toList());
+    }
+
     /** While urgent work asks for more than there is, the rest still gets its turn, the largest jobs within four minutes. */
     @Test
     void noKindOfWorkStarvesInABurst() {
