A cancelled job is concluded only when the watch has passed its cancellation (quota)

Cause: a controller's own cancellation is in its copy at once, while another's claim committed just before comes with the watch. It then saw a cancelled job without claims, wrote the final state and deleted the header; the chunk that it did not know of became an orphan and was swept, so that the claim was dropped while its tasks ran on a machine that could not be asked, and the team's limit was given away a second time.

The tests' world learns: a state service that refuses one controller alone, machines that are mute, slow links, questions and repeated submissions at a given moment, a cancellation at a given controller, starts after a confirmed cancellation, and jobs left waiting beside fitting room.

--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -567,7 +567,9 @@
     private void finish() {
         for (Job j : List.copyOf(ledger.jobs())) {
             boolean done = !j.cancelled() && j.doneCount() == j.spec().tasks();
-            boolean withdrawn = j.cancelled() && j.claimCount() == 0;
+            // Our own cancellation is in our copy at once, another's claim that came just before it only with the watch: a
+            // claim that we don't know of would be dropped with its task still running. cancel-overtakes-claim.trace
+            boolean withdrawn = j.cancelled() && j.claimCount() == 0 && mirror.edition() >= mirror.stamp(Keys.job(j.id()));
             if ((done || withdrawn) && settings.node().equals(membership.view().rendezvous(j.id()))
                     && !busy.contains(Keys.job(j.id()))) {
                 conclude(j, done);
--- a/src/test/java/org/havenford/world/GrownTest.java
+++ b/src/test/java/org/havenford/world/GrownTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import org.havenford.protocol.Settings;
 import org.junit.jupiter.api.Test;
 
@@ -76,8 +77,11 @@
         int conflicts = world.store.conflicts;
         int before = taskChanges(world);
         int total = 0;
+        // Drawn apart from the delays of messages: or each call more or less would make it another day, at times with more
+        // work than the teams' limits take.
+        SplittableRandom sizes = new SplittableRandom(jobs);
         for (int i = 0; i < jobs; i++) {
-            int size = least + world.random.nextInt(more);
+            int size = least + sizes.nextInt(more);
             total += size;
             String id = "j-" + (1000 + i);
             String team = teams.get(i % teams.size());
--- a/src/test/java/org/havenford/world/Rules.java
+++ b/src/test/java/org/havenford/world/Rules.java
@@ -11,6 +11,7 @@
 
 /** The rules of the protocol, checked after every event against what is really on the machines. */
 final class Rules {
+    private static final Duration WAITS_AT_MOST = Duration.ofSeconds(90);
     private static final Duration KNOWN_WITHIN = Duration.ofSeconds(75);
     private static final Duration LARGE_BEGIN_WITHIN = Duration.ofMinutes(4);
     /** Jobs of at least this part of the largest's tasks count as the largest. */
@@ -19,10 +20,16 @@
     private final World world;
     final List<String> broken = new ArrayList<>();
     int starts;
+    /** Starts after their job's cancellation was confirmed: counted by users, broken only after the time allowed. */
+    int startsAfterCancel;
+    private final Map<String, Instant> waiting = new HashMap<>();
     private boolean touched = true;
+    private Instant waitsChecked = Instant.MIN;
     private Instant checked = Instant.MIN;
     /** When the last trouble of the day is over; from then on users expect answers. */
     Instant troublesOver = Instant.EPOCH;
+    /** Days played from a trace know when their troubles are over. */
+    boolean checkWaits;
 
     Rules(World world) {
         this.world = world;
@@ -76,11 +83,53 @@
         if (j.apart && same > (j.tasks + 1) / 2) {
             broken("wrong_place", j.id + " has " + same + " tasks in zone " + on.zone);
         }
+        if (j.cancelTold != null) {
+            startsAfterCancel++;
+            world.note(t.shot + " starts after its job was cancelled");
+        }
         if (j.cancelTold != null && Duration.between(j.cancelTold, world.now).compareTo(world.template.cancel()) > 0) {
             broken("ran_cancelled", t.shot + " starts");
         }
     }
 
+    /** Once all troubles are over no job may wait this long while a machine that fits has room and its team is under its limit. */
+    private void checkWaiting(Map<String, Double> used) {
+        if (world.now.isBefore(troublesOver)) {
+            waiting.clear();
+            return;
+        }
+        for (Users.Job j : world.users.jobs.values()) {
+            boolean open = j.accepted && j.cancelTold == null && j.doneTold == null && !world.users.cancelAsked.contains(j.id);
+            boolean pending = open && !j.apart && !j.together && unstarted(j);
+            Settings.Team team = world.template.teams().get(j.team);
+            boolean allowed = team.cpusMax() <= 0 || used.getOrDefault(j.team, 0.0) + j.cpus <= team.cpusMax() + 1e-6;
+            if (!pending || !allowed || world.workers.values().stream().noneMatch(w -> hasRoom(w, j))) {
+                waiting.remove(j.id);
+            } else if (Duration.between(waiting.computeIfAbsent(j.id, k -> world.now), world.now).compareTo(WAITS_AT_MOST) > 0) {
+                broken("waited", j.id + " has waited beside fitting room");
+                waiting.remove(j.id);
+            }
+        }
+    }
+
+    private boolean unstarted(Users.Job j) {
+        for (int i = 0; i < j.tasks; i++) {
+            String shot = j.id + "/" + i;
+            if (!world.users.finished.contains(shot)
+                    && world.workers.values().stream().noneMatch(w -> w.tasks.values().stream().anyMatch(t -> t.shot.equals(shot)))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean hasRoom(Worker w, Users.Job j) {
+        double taken = w.tasks.values().stream().filter(t -> !t.status.equals("exited"))
+                .mapToDouble(t -> world.users.jobs.get(jobOf(t.shot)).cpus).sum();
+        return w.up() && !w.hung && !w.faulty && w.notice == null && (j.spot || !w.spot) && (j.zone == null || j.zone.equals(w.zone))
+                && taken + j.cpus <= Cloud.TYPES.get(w.type)[0] + 1e-6;
+    }
+
     void check() {
         if (!touched && world.now.isBefore(checked.plusMillis(500))) {
             return;
@@ -100,6 +149,10 @@
                 }
             }
         }
+        if (checkWaits && !world.now.isBefore(waitsChecked.plusSeconds(5))) {
+            waitsChecked = world.now;
+            checkWaiting(used);
+        }
         used.forEach((team, cpus) -> {
             Settings.Team limit = world.template.teams().get(team);
             if (limit.cpusMax() > 0 && cpus > limit.cpusMax() + 1e-6) {
--- a/src/test/java/org/havenford/world/Trace.java
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -80,11 +80,12 @@
             }
         }
         for (String[] e : events) {
-            if (e[0].equals("at") && !e[2].equals("submit") && !e[2].equals("cancel")) {
+            if (e[0].equals("at") && !List.of("submit", "cancel", "ask", "repeat").contains(e[2])) {
                 Instant at = Instant.EPOCH.plusMillis((long) (Double.parseDouble(e[1]) * 1000));
                 world.rules.troublesOver = at.isAfter(world.rules.troublesOver) ? at : world.rules.troublesOver;
             }
         }
+        world.rules.checkWaits = true;
         world.runUntil(until);
         if (expectations.stream().anyMatch(e -> e[1].equals("served"))) {
             world.rules.endOfDay();
@@ -106,6 +107,7 @@
                         .isBefore(Instant.EPOCH.plusSeconds(Long.parseLong(e[3])));
                 case "resting" -> world.store.value("live/view").getAsJsonObject().getAsJsonArray("resting").size() == Integer.parseInt(e[2]);
                 case "gone" -> world.cloud.gone.contains(e[2]);
+                case "late-starts" -> world.rules.startsAfterCancel <= Integer.parseInt(e[2]);
                 case "starts" -> world.rules.starts == Integer.parseInt(e[2]);
                 case "broken" -> world.rules.broken.stream().anyMatch(b -> b.contains(" " + e[2] + ": "));
                 default -> throw new IllegalArgumentException(String.join(" ", e));
@@ -132,7 +134,9 @@
         switch (e[2]) {
             case "submit" -> w.users.submit(a, e[4], Integer.parseInt(e[5]), Double.parseDouble(e[6]),
                     Double.parseDouble(e[7]), List.of(e).subList(8, e.length));
-            case "cancel" -> w.users.cancel(a);
+            case "cancel" -> w.users.cancel(a, e.length > 4 ? e[4] : null);
+            case "ask" -> w.users.ask(a);
+            case "repeat" -> w.users.repeat(a);
             case "crash" -> w.nodes.get(a).crash();
             case "start" -> w.nodes.get(a).start();
             case "cut" -> w.cut(end(w, a), end(w, e[4]), World.Cut.valueOf(e[5].toUpperCase(java.util.Locale.ROOT)));
@@ -155,6 +159,11 @@
                 w.slowCallsLeft.put(end(w, a), Integer.parseInt(e[4]));
                 w.slowCalls.put(end(w, a), Duration.ofMillis((long) (Double.parseDouble(e[5]) * 1000)));
             }
+            case "refuse" -> w.refuse(end(w, a));
+            case "serve" -> w.serve(end(w, a));
+            case "slow-links" -> w.slowLinks = (int) (Double.parseDouble(a) * 1000);
+            case "mute" -> w.mute.add(end(w, a));
+            case "speaks" -> w.mute.remove(end(w, a));
             case "deaf" -> w.deaf.add(end(w, a));
             case "hears" -> w.deaf.remove(end(w, a));
             case "copies" -> w.copies.put(end(w, a), Duration.ofMillis((long) (Double.parseDouble(e[4]) * 1000)));
--- a/src/test/java/org/havenford/world/Users.java
+++ b/src/test/java/org/havenford/world/Users.java
@@ -43,6 +43,8 @@
     }
 
     private final World world;
+    /** Jobs that were asked to be cancelled, whatever the answer. */
+    final Set<String> cancelAsked = new HashSet<>();
     final Map<String, Job> jobs = new LinkedHashMap<>();
     /** Tasks whose result is kept. */
     final Set<String> finished = new HashSet<>();
@@ -169,9 +171,32 @@
         }
     }
 
-    void cancel(String id) {
+    /** A single question. */
+    void ask(String id) {
         Job j = jobs.get(id);
-        world.call("users", someNode(), "POST", "/submissions/" + id + "/abort", null, Duration.ofSeconds(5), r -> {
+        String knew = j.last;
+        world.call("users", someNode(), "GET", "/submissions/" + id, null, Duration.ofSeconds(2), r -> told(j, knew, r));
+    }
+
+    /** The submission once more, whatever has become of the job: an accepted one is known for good. */
+    void repeat(String id) {
+        Job j = jobs.get(id);
+        String knew = j.last;
+        boolean was = j.accepted;
+        world.call("users", someNode(), "POST", "/submissions", body(j).toString(), Duration.ofSeconds(5), r -> {
+            if (was && r.status() < 500 && r.status() != 200) {
+                world.rules.broken("forgotten", id + " sent again is answered " + r.status());
+            } else if (was && r.status() == 200) {
+                told(j, knew, r);
+            }
+        });
+    }
+
+    void cancel(String id, String node) {
+        Job j = jobs.get(id);
+        cancelAsked.add(id);
+        String at = node == null ? someNode() : world.nodes.get(node).settings.bind();
+        world.call("users", at, "POST", "/submissions/" + id + "/abort", null, Duration.ofSeconds(5), r -> {
             if (r.status() == 200) {
                 String status = JsonParser.parseString(r.body()).getAsJsonObject().get("status").getAsString();
                 world.note(id + " cancel answered " + status);
@@ -181,7 +206,7 @@
                     j.last = "withdrawn";
                 }
             } else {
-                world.after(Duration.ofSeconds(1), () -> cancel(id));
+                world.after(Duration.ofSeconds(1), () -> cancel(id, null));
             }
         });
     }
--- a/src/test/java/org/havenford/world/World.java
+++ b/src/test/java/org/havenford/world/World.java
@@ -57,6 +57,12 @@
     private final Map<String, List<Runnable>> held = new HashMap<>();
     /** Ends that nothing reaches, though all that they send arrives. */
     final Set<String> deaf = new HashSet<>();
+    /** Milliseconds that a message may take on top of the usual few. */
+    int slowLinks;
+    /** Machines that reach nobody by themselves, though their answers to commands arrive. */
+    final Set<String> mute = new HashSet<>();
+    /** Controllers that the state service refuses alone; what their open watches would be told waits. */
+    private final Map<String, List<Runnable>> refused = new HashMap<>();
     /** Machines whose reports arrive a second time, this much later. */
     final Map<String, Duration> copies = new HashMap<>();
     /** Controllers whose requests that change something are carried out a second time, this much later. */
@@ -129,6 +135,18 @@
         }
     }
 
+    /** The state service refuses one controller alone; its leases run out, and its open watches wait. */
+    void refuse(String node) {
+        refused.put(node, new ArrayList<>());
+    }
+
+    void serve(String node) {
+        List<Runnable> waiting = refused.remove(node);
+        if (waiting != null) {
+            waiting.forEach(r -> after(Duration.ofMillis(1), r));
+        }
+    }
+
     /** Says in which zone an end lies; users, cloud and state service lie in none. */
     void lies(String end, String zone) {
         zoneOf.put(end, zone);
@@ -171,7 +189,7 @@
         if (c == Cut.HOLD) {
             held.computeIfAbsent(zone != null ? zone : link(from, to), k -> new ArrayList<>()).add(delivery);
         } else if (c == null) {
-            after(Duration.ofMillis(1 + random.nextInt(4)), delivery);
+            after(Duration.ofMillis(1 + random.nextInt(4 + slowLinks)), delivery);
         }
     }
 
@@ -184,6 +202,15 @@
             }
         };
         after(timeout, () -> once.accept(new HttpCalls.Reply(HttpCalls.NO_ANSWER, "")));
+        if (mute.contains(from)) {
+            return;
+        }
+        boolean watch = path.startsWith("/changes");
+        boolean toStore = to.equals(template.stateAddress());
+        if (toStore && refused.containsKey(from) && !watch) {
+            carry(to, from, () -> once.accept(new HttpCalls.Reply(503, "{\"error\":\"refused\"}")));
+            return;
+        }
         Duration late = path.startsWith("/do") ? lateCommands.get(to) : null;
         Duration lateAnswer = path.startsWith("/changes") ? lateChanges.get(from) : null;
         if (late != null) {
@@ -216,8 +243,15 @@
                 carry(to, from, () -> once.accept(new HttpCalls.Reply(HttpCalls.NOT_SENT, "")));
                 return;
             }
-            s.request(method, path, body, reply -> after(lateAnswer == null ? Duration.ZERO : lateAnswer,
-                    () -> carry(to, from, () -> once.accept(reply))));
+            s.request(method, path, body, reply -> {
+                Runnable delivery = () -> after(lateAnswer == null ? Duration.ZERO : lateAnswer,
+                        () -> carry(to, from, () -> once.accept(reply)));
+                if (toStore && watch && refused.containsKey(from)) {
+                    refused.get(from).add(delivery);
+                } else {
+                    delivery.run();
+                }
+            });
         });
     }
 
