A controller is entitled only while its copy has caught up; it starts nothing in its blind seconds

Cause: entitlement rested on a comparison of the view alone. With a watch that is stuck while other calls pass, a controller kept workers at tasks that others had cancelled for as long as the watch took; after an outage entitlement could return before the watch did, and run went out for jobs cancelled meanwhile. Now a comparison counts only once our copy has reached its edition, and run goes out only within half the lease of one. A quiet store answers a watch after 2 s instead of 8, since entitlement rests on hearing so.

--- a/src/main/java/org/havenford/bookkeeping/Mirror.java
+++ b/src/main/java/org/havenford/bookkeeping/Mirror.java
@@ -17,7 +17,8 @@
  */
 public final class Mirror {
     private static final Logger LOG = LoggerFactory.getLogger(Mirror.class);
-    private static final Duration BLOCK = Duration.ofSeconds(8);
+    /** A quiet store says after this long that nothing has changed; entitlement rests on hearing so. */
+    private static final Duration BLOCK = Duration.ofSeconds(2);
     /** Part of this controller's requests that go to reopening the watch. */
     private static final double WATCHING = 0.25;
 
--- a/src/main/java/org/havenford/bookkeeping/StateStore.java
+++ b/src/main/java/org/havenford/bookkeeping/StateStore.java
@@ -269,7 +269,7 @@
 
     public void watch(String prefix, long since, Duration block, Consumer<Result> done) {
         submit(Urgency.WATCH, "GET", "/changes?prefix=" + prefix + "&since=" + since + "&blockMs=" + block.toMillis(),
-                null, 0, block.plusSeconds(5), done);
+                null, 0, block.plusSeconds(3), done);
     }
 
     public void createLease(Duration life, Consumer<Result> done) {
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -235,6 +235,7 @@
         }
         m.checkinSession = r.session();
         m.checkinSeq = r.seq();
+        m.reported = loop.now();
         List<Command> commands = List.of();
         // A report that says nothing new needs no round: of a thousand machines some hundred say so each second.
         boolean news = false;
@@ -451,7 +452,8 @@
                 return out;
             }
         }
-        for (Claim c : claims.values()) {
+        // What others cancelled in our blind seconds must not start: runs wait until our copy has caught up. gap.trace
+        for (Claim c : membership.current() ? claims.values() : List.<Claim>of()) {
             Attempt a = m.attempt(c.task(), c.attempt());
             if (c.session() == r.session() && !a.seen && a.stop == null && !cancelled(c)
                     && !endings.containsKey(c) && r.find(c.task(), c.attempt()) == null && out.size() < most) {
@@ -627,7 +629,8 @@
         if (m == null) {
             return !mine(r.name());
         }
-        return m.report != null && m.noticeUntil == null && !now.isBefore(m.refusedUntil) && now.isBefore(m.heard.plus(fresh));
+        // Answers to /do renew no lease: what starts on a machine that only answers is killed with it. mute-machine.trace
+        return m.report != null && m.noticeUntil == null && !now.isBefore(m.refusedUntil) && now.isBefore(m.reported.plus(fresh));
     }
 
     public boolean avoided(TaskId task, String machine) {
@@ -737,8 +740,8 @@
     /** How one of our machines is. */
     private void judge(MachineState m, MachineRecord r, Instant now) {
         Condition c = m.condition;
-        boolean heardLately = m.report != null && Duration.between(m.heard, now).compareTo(fresh) < 0;
-        Instant lastSign = m.report == null ? m.renewed : m.heard;
+        boolean heardLately = m.report != null && now.isBefore(m.reported.plus(fresh));
+        Instant lastSign = m.report == null ? m.renewed : m.reported;
         if (heardLately) {
             c = m.unanswered >= MOST_UNANSWERED ? Condition.SILENT
                     : m.failedJobs.size() >= 2 || c == Condition.FAULTY ? Condition.FAULTY
--- a/src/main/java/org/havenford/coordination/MachineState.java
+++ b/src/main/java/org/havenford/coordination/MachineState.java
@@ -42,8 +42,10 @@
     /** Session and sequence of the newest report that came by itself, not as an answer to a command. */
     long checkinSession = -1;
     long checkinSeq = -1;
-    /** Steady time of the newest report. */
+    /** Steady time of the newest report, answers to commands included. */
     Instant heard = Instant.MIN;
+    /** Steady time of the newest report that came by itself: only these renew the worker's lease. */
+    Instant reported = Instant.MIN;
     /** The last moment at which any owner could have renewed the worker's lease. */
     Instant renewed;
     long epoch;
--- a/src/main/java/org/havenford/coordination/Membership.java
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -42,6 +43,10 @@
     private record Member(long incarnation, long stamp) {
     }
 
+    /** The view was found as we hold it, at this edition of the store. */
+    private record Comparison(Instant sent, long edition) {
+    }
+
     private final EventLoop loop;
     private final StateStore store;
     private final String node;
@@ -62,7 +67,9 @@
     private boolean registered;
     private boolean proposing;
     private Instant leaseUntil = Instant.MIN;
-    private Instant viewUntil = Instant.MIN;
+    /** Comparisons that found our view, and that our copy has yet to catch up with; the oldest first. */
+    private final ArrayDeque<Comparison> compared = new ArrayDeque<>();
+    private Instant verified = Instant.MIN;
     private Instant lastProposal = Instant.MIN;
 
     /** {@code ownedBy} tells how many machines a node owns. */
@@ -113,12 +120,28 @@
 
     /**
      * Whether this node may answer workers. Counted from the sending of the last good renewal, and from the sending of
-     * the last comparison that found the view as we hold it: a node whose watch is stuck must not go on under a view
-     * that others have replaced.
+     * the last comparison that found the view as we hold it and whose edition our copy has reached: a node whose watch is
+     * stuck must not go on under a view that others have replaced, nor keep workers at tasks that others have cancelled.
      */
     public boolean entitled() {
         Instant now = loop.now();
-        return now.isBefore(leaseUntil) && now.isBefore(viewUntil) && isMember();
+        return now.isBefore(leaseUntil) && now.isBefore(until(verified(), life)) && isMember();
+    }
+
+    /**
+     * Whether this node may start tasks as well: its copy was compared so lately that what others have cancelled for
+     * longer than a moment is known here. In its blind seconds, and in the first ones afterwards, a node starts nothing.
+     */
+    public boolean current() {
+        return entitled() && loop.now().isBefore(until(verified(), life.dividedBy(2)));
+    }
+
+    /** When the latest comparison was sent that our copy has caught up with. */
+    private Instant verified() {
+        while (!compared.isEmpty() && compared.peek().edition() <= mirror.edition()) {
+            verified = compared.poll().sent();
+        }
+        return verified;
     }
 
     public boolean leaseHolds() {
@@ -135,8 +158,8 @@
         return current != null && current == incarnation;
     }
 
-    private Instant until(Instant sent) {
-        return sent.plusNanos((long) (life.toNanos() * (1 - DRIFT))).minus(MARGIN);
+    private static Instant until(Instant sent, Duration time) {
+        return sent.equals(Instant.MIN) ? sent : sent.plusNanos((long) (time.toNanos() * (1 - DRIFT))).minus(MARGIN);
     }
 
     private void acquire() {
@@ -149,7 +172,7 @@
             }
             try {
                 permit = Json.count(r.body(), "permit");
-                leaseUntil = until(sent);
+                leaseUntil = until(sent, life);
                 register();
                 loop.after(life.dividedBy(4), () -> renew(permit));
             } catch (Json.BadMessage e) {
@@ -176,7 +199,7 @@
                 return;
             }
             if (r.ok()) {
-                leaseUntil = until(sent);
+                leaseUntil = until(sent, life);
             }
             loop.after(r.ok() ? life.dividedBy(4) : Duration.ofMillis(300), () -> renew(renewed));
         });
@@ -187,10 +210,12 @@
 
     private void compare() {
         Instant sent = loop.now();
-        long compared = viewStamp;
-        store.commit(new StateStore.Txn().guard(Keys.VIEW, compared), StateStore.Urgency.LEASE, r -> {
-            if (r.ok() && compared == viewStamp) {
-                viewUntil = until(sent);
+        long stamp = viewStamp;
+        store.commit(new StateStore.Txn().guard(Keys.VIEW, stamp), StateStore.Urgency.LEASE, r -> {
+            // Answers may overtake each other; of an older comparison nothing is learnt then.
+            if (r.ok() && stamp == viewStamp && (compared.isEmpty() || compared.peekLast().sent().isBefore(sent))
+                    && verified.isBefore(sent)) {
+                compared.add(new Comparison(sent, r.edition()));
             }
         });
     }
@@ -241,7 +266,8 @@
             viewSince = loop.now();
             wantsToWake &= view.resting().contains(node);
             viewStamp = value == null ? 0 : stamp;
-            viewUntil = Instant.MIN;
+            compared.clear();
+            verified = Instant.MIN;
             LOG.info("view {}: members {}, moved {}, resting {}", view.epoch(), view.members(), view.moved().size(),
                     view.resting());
             store.share(view.members().size());
