Pipelines: jobs that await others, with the version in production beside

awaits is checked and stored with the header; a waiting job is let go by a guarded write once all that it names are finally done in the store, and withdrawn with a job that it needs. Priority and due time pass backwards in the planner. state.next: sizes are the smaller from the start; larger task records of the version before get a short form that is written only when every controller has been seen with format 2.

--- a/src/main/java/org/havenford/bookkeeping/Chunk.java
+++ b/src/main/java/org/havenford/bookkeeping/Chunk.java
@@ -1,5 +1,6 @@
 package org.havenford.bookkeeping;
 
+import com.google.common.base.Strings;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -9,6 +10,7 @@
 import it.unimi.dsi.fastutil.ints.IntArrayList;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
@@ -20,6 +22,9 @@
  * exist yet stands for tasks that were never claimed, which keeps a large job small.
  */
 public final class Chunk {
+    /** Durations that stay when there is no room for all. */
+    private static final int KEPT_DURATIONS = 9;
+
     private final String job;
     private final int first;
     private final int size;
@@ -137,6 +142,107 @@
         }
     }
 
+    /**
+     * What to write so that the value keeps to {@code limit} bytes; null if nothing does. Durations are thinned out first,
+     * which moves their median little. Then comes the short form of the claims, for readers of format 2 alone; while there
+     * are others, what the version before wrote larger stays as large as it may be for now.
+     */
+    public JsonObject toJson(int limit, int presentLimit, boolean shortForm) {
+        if (estimate() <= limit) {
+            return toJson();
+        }
+        JsonObject o = toJson();
+        if (o.toString().length() <= limit) {
+            return o;
+        }
+        thin(fetches);
+        thin(runs);
+        o = toJson();
+        if (o.toString().length() <= limit) {
+            return o;
+        }
+        if (shortForm) {
+            o = toShortJson();
+            return o.toString().length() <= limit ? o : null;
+        }
+        return o.toString().length() <= presentLimit ? o : null;
+    }
+
+    /** No less than the length of the usual form, without writing it. */
+    private int estimate() {
+        int n = 100 + size / 2 + attempts.size() * 14 + 6 * (fetches.size() + runs.size());
+        for (Claim c : claims.values()) {
+            n += 48 + c.machine().length() + c.account().length();
+        }
+        for (String machine : late.values()) {
+            n += 14 + machine.length();
+        }
+        return n;
+    }
+
+    private static void thin(IntArrayList durations) {
+        if (durations.size() > KEPT_DURATIONS) {
+            int[] sorted = durations.toIntArray();
+            Arrays.sort(sorted);
+            durations.clear();
+            for (int i = 0; i < KEPT_DURATIONS; i++) {
+                durations.add(sorted[(int) ((i + 0.5) * sorted.length / KEPT_DURATIONS)]);
+            }
+        }
+    }
+
+    /** Claims as one text, with what they share said once; attempts only where a claim does not say them. */
+    private JsonObject toShortJson() {
+        JsonObject o = toJson();
+        o.add("c", new JsonArray());
+        List<String> accounts = new ArrayList<>();
+        String prefix = null;
+        long base = Long.MAX_VALUE;
+        for (Claim c : claims.values()) {
+            prefix = prefix == null ? c.machine() : Strings.commonPrefix(prefix, c.machine());
+            base = Math.min(base, c.at().toEpochMilli());
+        }
+        StringBuilder text = new StringBuilder();
+        for (Claim c : claims.values()) {
+            if (!accounts.contains(c.account())) {
+                accounts.add(c.account());
+            }
+            text.append(text.isEmpty() ? "" : ";").append(c.task().index() - first).append(' ').append(c.attempt()).append(' ')
+                    .append(c.machine().substring(prefix.length())).append(' ').append(c.session()).append(' ')
+                    .append(c.at().toEpochMilli() - base).append(' ').append(accounts.indexOf(c.account()));
+        }
+        JsonObject s = new JsonObject();
+        s.addProperty("p", prefix == null ? "" : prefix);
+        s.addProperty("t", claims.isEmpty() ? 0 : base);
+        JsonArray a = new JsonArray();
+        accounts.forEach(a::add);
+        s.add("a", a);
+        s.addProperty("c", text.toString());
+        o.add("s", s);
+        JsonObject n = new JsonObject();
+        attempts.int2LongEntrySet().forEach(e -> {
+            if (!claims.containsKey(e.getIntKey())) {
+                n.addProperty(Integer.toString(e.getIntKey()), e.getLongValue());
+            }
+        });
+        o.add("n", n);
+        return o;
+    }
+
+    private void readShort(JsonObject s) throws Json.BadMessage {
+        String prefix = Json.text(s, "p");
+        long base = Json.count(s, "t");
+        List<String> accounts = Json.texts(s, "a");
+        String text = Json.text(s, "c");
+        for (String one : text.isEmpty() ? new String[0] : text.split(";")) {
+            String[] w = one.split(" ", -1);
+            Claim c = new Claim(new TaskId(job, first + Integer.parseInt(w[0])), Long.parseLong(w[1]), prefix + w[2],
+                    Long.parseLong(w[3]), Instant.ofEpochMilli(base + Long.parseLong(w[4])), accounts.get(Integer.parseInt(w[5])));
+            claims.put(c.task().index(), c);
+            attempts.put(c.task().index(), c.attempt());
+        }
+    }
+
     public JsonObject toJson() {
         JsonObject o = new JsonObject();
         JsonArray d = new JsonArray();
@@ -201,6 +307,9 @@
                         a.size() > 5 ? a.get(5).getAsString() : "");
                 claims.put(c.task().index(), c);
             }
+            if (Json.has(o, "s")) {
+                readShort(Json.child(o, "s"));
+            }
             if (Json.has(o, "n")) {
                 Json.child(o, "n").entrySet().forEach(e -> attempts.put(Integer.parseInt(e.getKey()), e.getValue().getAsLong()));
             }
--- a/src/main/java/org/havenford/bookkeeping/Heard.java
+++ b/src/main/java/org/havenford/bookkeeping/Heard.java
@@ -24,7 +24,18 @@
     public record Status(Condition condition, List<String> images) {
     }
 
-    public JsonObject toJson() {
+    /** Names fewer images where they would not fit: a hint that is shorter is still true. */
+    public JsonObject toJson(int valueBytes) {
+        for (int images = MOST_IMAGES; images > 0; images--) {
+            JsonObject o = toJsonWith(images);
+            if (o.toString().length() <= valueBytes) {
+                return o;
+            }
+        }
+        return toJsonWith(0);
+    }
+
+    private JsonObject toJsonWith(int mostImages) {
         JsonObject o = new JsonObject();
         o.addProperty("at", at.toEpochMilli());
         List<String> names = new ArrayList<>();
@@ -32,7 +43,7 @@
         machines.forEach((machine, s) -> {
             JsonArray a = new JsonArray();
             a.add(s.condition.name().toLowerCase(Locale.ROOT));
-            for (String image : s.images.subList(0, Math.min(MOST_IMAGES, s.images.size()))) {
+            for (String image : s.images.subList(0, Math.min(mostImages, s.images.size()))) {
                 int i = names.indexOf(image);
                 if (i < 0) {
                     i = names.size();
--- a/src/main/java/org/havenford/bookkeeping/Job.java
+++ b/src/main/java/org/havenford/bookkeeping/Job.java
@@ -17,6 +17,8 @@
     private final Instant submitted;
     private final int chunkSize;
     private final boolean cancelled;
+    /** When all that the job awaits was found to be done in the store; null while it waits, or where it awaits nothing. */
+    private final Instant ready;
     private final Chunk[] chunks;
     private int done;
     private int claimed;
@@ -27,6 +29,11 @@
     private Duration medianRun;
 
     public Job(JobSpec spec, Instant submitted, int chunkSize, boolean cancelled) {
+        this(spec, submitted, chunkSize, cancelled, null);
+    }
+
+    private Job(JobSpec spec, Instant submitted, int chunkSize, boolean cancelled, Instant ready) {
+        this.ready = ready;
         this.spec = spec;
         this.submitted = submitted;
         this.chunkSize = chunkSize;
@@ -36,7 +43,8 @@
 
     /** Tasks per key, so that a full chunk stays within the value limit. */
     public static int chunkSize(int valueBytes) {
-        return Math.max(4, Math.min(64, (valueBytes - 600) / 130));
+        // Small values take more tasks than full records would allow: those are written in the short form.
+        return Math.max(Math.min(24, (valueBytes - 250) / 70), Math.max(4, Math.min(64, (valueBytes - 600) / 130)));
     }
 
     /** Keys for the controllers to share a job by, none so small that a write says little. */
@@ -61,6 +69,16 @@
         return cancelled;
     }
 
+    /** Whether jobs that this one needs are not known to be done: then none of its tasks may be claimed. */
+    public boolean waiting() {
+        return ready == null && !spec.awaits().isEmpty();
+    }
+
+    /** From when on the job could start: its times count from here, its deadline from the submission. */
+    public Instant released() {
+        return ready == null ? submitted : ready;
+    }
+
     public int chunkCount() {
         return chunks.length;
     }
@@ -177,11 +195,20 @@
         if (withCancel) {
             o.addProperty("_cancelled", true);
         }
+        if (ready != null) {
+            o.addProperty("_ready", ready.toEpochMilli());
+        }
         return o;
     }
 
+    /** The header that lets the job's tasks be claimed. */
+    public JsonObject readyHeader(Instant at) {
+        return new Job(spec, submitted, chunkSize, cancelled, at).header(cancelled);
+    }
+
     public static Job parse(JsonObject o) throws Json.BadMessage {
         return new Job(JobSpec.parse(o), Instant.ofEpochMilli(Json.count(o, "_at")),
-                (int) Math.max(1, Json.count(o, "_chunk")), Json.flagOr(o, "_cancelled", false));
+                (int) Math.max(1, Json.count(o, "_chunk")), Json.flagOr(o, "_cancelled", false),
+                Json.has(o, "_ready") ? Instant.ofEpochMilli(Json.count(o, "_ready")) : null);
     }
 }
--- a/src/main/java/org/havenford/bookkeeping/Ledger.java
+++ b/src/main/java/org/havenford/bookkeeping/Ledger.java
@@ -67,6 +67,8 @@
     /** In order, so that all controllers go through them alike; and by id, since nothing is looked up as often. */
     private final TreeMap<String, Job> jobs = new TreeMap<>();
     private final Object2ObjectOpenHashMap<String, Job> jobsById = new Object2ObjectOpenHashMap<>();
+    /** Jobs that wait for others. */
+    private final TreeSet<String> waiting = new TreeSet<>();
     private final Object2ObjectOpenHashMap<String, MachineRecord> machines = new Object2ObjectOpenHashMap<>();
     private final Map<String, MachineBatch> batches = new HashMap<>();
     private final Map<String, Set<String>> batchesOf = new HashMap<>();
@@ -93,6 +95,10 @@
         return jobsById.get(id);
     }
 
+    public Collection<String> waiting() {
+        return waiting;
+    }
+
     public Collection<MachineRecord> machines() {
         return machines.values();
     }
@@ -269,6 +275,7 @@
         if (value == null) {
             jobs.remove(id);
             jobsById.remove(id);
+            waiting.remove(id);
             if (before != null) {
                 before.claims().forEach(c -> unindex(c, before.spec()));
                 for (int i = 0; i < before.chunkCount(); i++) {
@@ -282,6 +289,11 @@
         Job job = Job.parse(value);
         jobs.put(id, job);
         jobsById.put(id, job);
+        if (job.waiting()) {
+            waiting.add(id);
+        } else {
+            waiting.remove(id);
+        }
         if (before != null) {
             for (int i = 0; i < job.chunkCount(); i++) {
                 job.replace(i, before.stored(i));
--- a/src/main/java/org/havenford/bookkeeping/StateStore.java
+++ b/src/main/java/org/havenford/bookkeeping/StateStore.java
@@ -30,6 +30,8 @@
     private static final double SAFETY = 0.92;
     private static final Duration ADJUST_EVERY = Duration.ofSeconds(1);
     private static final int MOST_BACK_OFF = 10;
+    /** Part of an even share that is used however often the service refuses. */
+    private static final double LEAST_SHARE = 0.7;
     /** How soon waiting calls are looked at again. */
     private static final Duration RETRY = Duration.ofMillis(20);
     private static final Duration QUIET = Duration.ofSeconds(2);
@@ -144,6 +146,7 @@
     private final TokenBucket changes;
     private final double rps;
     private final double writeRps;
+    private final double leastShare;
     private final List<ArrayDeque<Pending>> queues = new ArrayList<>();
     private final long[] sent = new long[Urgency.values().length];
     private boolean pumping;
@@ -162,7 +165,9 @@
     private Instant holdOff = Instant.MIN;
     private Instant leaseHoldOff = Instant.MIN;
 
-    public StateStore(EventLoop loop, HttpCalls calls, String address, double rps, double writeRps, int sharers) {
+    /** {@code nextWriteRps} is what the service's limit of changes may become without notice. */
+    public StateStore(EventLoop loop, HttpCalls calls, String address, double rps, double writeRps, double nextWriteRps, int sharers) {
+        this.leastShare = LEAST_SHARE * nextWriteRps / writeRps;
         this.loop = loop;
         this.calls = calls;
         this.address = address;
@@ -201,7 +206,7 @@
         if (usedUp && quiet) {
             shares = Math.min(Math.max(1, sharers * 0.9), shares * 1.15);
         } else if (!usedUp) {
-            shares = Math.max(1, shares * 0.97);
+            shares = shares < 1 ? Math.min(1, shares * 1.03) : Math.max(1, shares * 0.97);
         }
         usedUp = false;
         if (shares != before) {
@@ -216,7 +221,7 @@
         holdOff = now.plusMillis(100L * Math.min(MOST_BACK_OFF, refusedInARow));
         leaseHoldOff = now.plusMillis(60);
         if (now.isAfter(lastRefusal.plus(ADJUST_EVERY))) {
-            shares = Math.max(0.7, shares * 0.75);
+            shares = Math.max(leastShare, shares * 0.75);
             applyShare();
         }
         lastRefusal = now;
@@ -413,7 +418,11 @@
                 return new Result(Outcome.NOT_EXECUTED, body);
             case 503, HttpCalls.NOT_SENT:
                 return new Result(Outcome.NOT_EXECUTED, body);
-            case 400, 410:
+            case 400:
+                LOG.error("state service: {} {} of {} bytes, {} changes, answered {}", p.method, p.path,
+                        p.body == null ? 0 : p.body.length(), p.writes, reply.body());
+                return new Result(Outcome.REJECTED, body);
+            case 410:
                 LOG.warn("state service: {} {} answered {} {}", p.method, p.path, reply.status(), reply.body());
                 return new Result(Outcome.REJECTED, body);
             default:
--- a/src/main/java/org/havenford/coordination/Controller.java
+++ b/src/main/java/org/havenford/coordination/Controller.java
@@ -4,6 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import org.havenford.bookkeeping.Keys;
@@ -51,10 +53,11 @@
 
     public Controller(EventLoop loop, HttpCalls calls, Settings settings, Operator operator) {
         this.loop = loop;
-        store = new StateStore(loop, calls, settings.stateAddress(), settings.stateRps(), settings.stateWriteRps(),
+        store = new StateStore(loop, calls, settings.stateAddress(), settings.stateRps(), settings.stateWriteRps(), settings.nextWriteRps(),
                 settings.peers().size() + 1);
         mirror = new Mirror(loop, store, Keys.MIRRORED, ledger);
-        membership = new Membership(loop, store, mirror, settings.node(), membershipLife(settings, operator), this::viewChanged, this::ownedBy);
+        membership = new Membership(loop, store, mirror, settings.node(), nodes(settings),
+                membershipLife(settings, operator), this::viewChanged, this::ownedBy);
         fleet = new Fleet(loop, calls, settings, operator, ledger, mirror, store, membership, this::endsChanged, this::wake);
         scheduler = new Scheduler(loop, settings, operator, ledger, mirror, store, membership, fleet, this::wake);
         provisioner = new Provisioner(loop, calls, settings, operator, ledger, mirror, store, membership, this::wake);
@@ -99,6 +102,12 @@
         return life.compareTo(most) > 0 && most.compareTo(Duration.ofSeconds(2)) > 0 ? most : life;
     }
 
+    private static Set<String> nodes(Settings settings) {
+        Set<String> all = new TreeSet<>(Set.of(settings.node()));
+        settings.peers().forEach(p -> all.add(p.node()));
+        return all;
+    }
+
     public void start() {
         mirror.start();
         membership.start();
--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -58,7 +58,7 @@
         List<Want> out = new ArrayList<>();
         Map<String, Double> used = new HashMap<>();
         for (Job j : ledger.jobs()) {
-            if (j.cancelled()) {
+            if (j.cancelled() || j.waiting()) {
                 continue;
             }
             JobSpec s = j.spec();
@@ -86,7 +86,7 @@
                 tasks = Math.min(tasks, Math.max(0, (team.cpusMax() - sofar) / s.cpus()));
                 used.put(s.team(), sofar + tasks * s.cpus());
             }
-            boolean stuck = j.pendingCount() > 0 && j.claimCount() == 0 && tasks > 0 && timeOfDay.isAfter(j.submitted().plus(STUCK));
+            boolean stuck = j.pendingCount() > 0 && j.claimCount() == 0 && tasks > 0 && timeOfDay.isAfter(j.released().plus(STUCK));
             out.add(new Want(s, tasks, stuck));
         }
         return out;
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -805,7 +805,7 @@
         if (now.isBefore(t.at.plus(conditions && !store.pressed() ? TELL_EVERY : TELL_IMAGES_EVERY))) {
             return;
         }
-        StateStore.Txn txn = new StateStore.Txn().set(Keys.heard(settings.node(), part), new Heard(loop.timeOfDay(), what).toJson());
+        StateStore.Txn txn = new StateStore.Txn().set(Keys.heard(settings.node(), part), new Heard(loop.timeOfDay(), what).toJson(settings.valueBytes()));
         t.inFlight = true;
         t.at = now;
         store.commit(txn, conditions ? StateStore.Urgency.WORK : StateStore.Urgency.SPARE, r -> {
--- a/src/main/java/org/havenford/coordination/Membership.java
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -6,8 +6,10 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.ToIntFunction;
@@ -29,8 +31,8 @@
     private static final double DRIFT = 0.001;
     private static final Duration MARGIN = Duration.ofMillis(150);
 
-    /** Keeps the view's value small. */
-    private static final int MAX_MOVES = 60;
+    /** Keeps the view's value within 2 KiB. */
+    private static final int MAX_MOVES = 40;
     /** A worker that is sent to its owner and comes back within this has not reached it. */
     private static final Duration STRAYING = Duration.ofSeconds(8);
     /** After a change of the view workers need time to find their owners. */
@@ -40,6 +42,9 @@
     private static final int LEAST_STRAYS = 2;
     private static final int MAX_KEPT = 20_000;
 
+    /** Of what this program reads and writes; 1 is what came before pipelines, and says nothing of itself. */
+    private static final int FORMAT = 2;
+
     private record Member(long incarnation, long stamp) {
     }
 
@@ -50,6 +55,9 @@
     private final EventLoop loop;
     private final StateStore store;
     private final String node;
+    /** All controllers of the deployment, and those that have been seen to read format 2. */
+    private final Set<String> configured;
+    private final Set<String> renewed = new HashSet<>();
     private final Duration life;
     private final Mirror mirror;
     private final Runnable changed;
@@ -73,13 +81,14 @@
     private Instant lastProposal = Instant.MIN;
 
     /** {@code ownedBy} tells how many machines a node owns. */
-    public Membership(EventLoop loop, StateStore store, Mirror mirror, String node, Duration life, Runnable changed,
+    public Membership(EventLoop loop, StateStore store, Mirror mirror, String node, Set<String> configured, Duration life, Runnable changed,
             ToIntFunction<String> ownedBy) {
         this.ownedBy = ownedBy;
         this.loop = loop;
         this.store = store;
         this.mirror = mirror;
         this.node = node;
+        this.configured = configured;
         this.life = life;
         this.changed = changed;
     }
@@ -88,6 +97,14 @@
         acquire();
     }
 
+    /**
+     * Whether every controller has been seen with a program that reads what format 2 writes. None goes back to an older
+     * one: a process comes back with the version that it had, or a newer one.
+     */
+    public boolean allReadFormat2() {
+        return renewed.containsAll(configured);
+    }
+
     public View view() {
         return view;
     }
@@ -224,6 +241,7 @@
         long mine = permit;
         JsonObject value = new JsonObject();
         value.addProperty("incarnation", mine);
+        value.addProperty("format", FORMAT);
         StateStore.Txn txn = new StateStore.Txn().set(Keys.member(node), value, mine);
         store.commit(txn, StateStore.Urgency.LEASE, r -> {
             if (mine != permit) {
@@ -247,6 +265,9 @@
                 members.remove(name);
             } else {
                 members.put(name, new Member(Json.count(value, "incarnation"), stamp));
+                if (Json.countOr(value, "format", 1) >= FORMAT) {
+                    renewed.add(name);
+                }
             }
         } catch (Json.BadMessage e) {
             LOG.error("the member {} can't be read: {}", name, e.getMessage());
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -146,6 +146,8 @@
     private final boolean speedFirst;
     private final UnaryOperator<String> owner;
     private Set<String> awaited = Set.of();
+    /** What jobs have from those that wait for them; of others there is nothing here. */
+    private Map<String, Pipelines.Inherited> inherited = Map.of();
     /** Room on the machines that take tasks, kept from round to round; those named in {@code stale} are worked out anew. */
     private final TreeMap<String, Room> rooms = new TreeMap<>();
     private final Set<String> stale = new HashSet<>();
@@ -171,12 +173,23 @@
         return m.spot() ? 0 : ORDINARY;
     }
 
+    private JobSpec.Priority priority(Job j) {
+        Pipelines.Inherited i = inherited.get(j.id());
+        return i == null ? j.spec().priority() : i.priority();
+    }
+
+    private Instant due(Job j) {
+        Pipelines.Inherited i = inherited.get(j.id());
+        return i == null ? j.due() : i.due();
+    }
+
     /** Jobs with work left, the one to be served first at the front. */
     public List<Job> order(Instant now) {
+        inherited = Pipelines.inherited(ledger);
         Map<String, double[]> within = new HashMap<>();
         List<Job> open = new ArrayList<>();
         for (Job j : ledger.jobs()) {
-            if (!j.cancelled()) {
+            if (!j.cancelled() && !j.waiting()) {
                 open.add(j);
             }
         }
@@ -196,7 +209,7 @@
         open.removeIf(j -> j.pendingCount() == 0);
         open.sort(Comparator.comparing((Job j) -> !starving(j, now))
                 .thenComparing(j -> !guaranteed.contains(j.id()))
-                .thenComparing(j -> j.spec().priority())
+                .thenComparing(this::priority)
                 .thenComparing(j -> latest.get(j.id()))
                 .thenComparing(Job::id));
         return open;
@@ -204,29 +217,30 @@
 
     /** A job that has waited this long without a start goes first, whatever else there is: no kind of work starves. */
     private static boolean starving(Job j, Instant now) {
-        return j.claimCount() == 0 && j.doneCount() == 0 && now.isAfter(j.submitted().plus(STARVING));
+        return j.claimCount() == 0 && j.doneCount() == 0 && now.isAfter(j.released().plus(STARVING));
     }
 
     /** When a task of the job must start so that the aim of its class is met. */
     private Instant latestStart(Job j, Instant now) {
         Duration run = j.medianRun();
         Instant latest = null;
-        if (j.due() != null) {
+        Instant due = due(j);
+        if (due != null) {
             Duration whole = run == null ? j.spec().guess() : run;
-            latest = j.due().minus(whole);
+            latest = due.minus(whole);
             if (now.isAfter(latest.plus(HOPELESS))) {
                 // It can't be in time any more: those that can go before it, but it is not left to the end of days.
-                latest = j.submitted().plusMillis(j.spec().deadline().toMillis() * 3 / 2).minus(whole);
+                latest = due.plus(Duration.between(j.submitted(), due).dividedBy(2)).minus(whole);
                 latest = now.isAfter(latest) ? j.submitted().plus(AFTER_ALL) : latest;
             }
         }
         for (Settings.Objective o : settings.objectives()) {
             if (o.lineup().equals(j.spec().lineup()) && o.within() != null && o.kind().equals("wait")) {
-                Instant at = j.submitted().plus(o.within());
+                Instant at = j.released().plus(o.within());
                 latest = latest == null || at.isBefore(latest) ? at : latest;
             }
         }
-        return latest == null ? j.submitted().plus(Duration.ofSeconds(120)) : latest;
+        return latest == null ? j.released().plus(Duration.ofSeconds(120)) : latest;
     }
 
     private double largePenalty(MachineType type, double smallest) {
@@ -390,14 +404,14 @@
 
     /** A job with time to spare, whose image takes long against a run: it is cheaper on few machines that have it. */
     private boolean sparing(Job j) {
-        return j.due() != null && j.spec().priority().compareTo(JobSpec.Priority.NORMAL) >= 0
+        return due(j) != null && priority(j).compareTo(JobSpec.Priority.NORMAL) >= 0
                 && fetchAlone(j.spec()) >= LONG_FETCH * runSeconds(j);
     }
 
     /** Tasks that must run side by side for the job to be in time; of one that can't be, a third. */
     private int needed(Job j, Instant now) {
         double run = runSeconds(j) * 1.15;
-        double time = Duration.between(now, j.due()).toMillis() / 1e3 - fetchAlone(j.spec()) * (j.claimCount() == 0 ? 1 : 0);
+        double time = Duration.between(now, due(j)).toMillis() / 1e3 - fetchAlone(j.spec()) * (j.claimCount() == 0 ? 1 : 0);
         double turns = time < run ? 3 : Math.floor(time / run);
         return (int) Math.ceil((j.spec().tasks() - j.doneCount()) / turns);
     }
@@ -456,8 +470,8 @@
             }
             unplaced += Math.min(quota, pending.size() - placed);
         }
-        if (unplaced > 0 && !warm && !hold(s, offers, unplaced) && pressing(job, round.now)) {
-            preempt(s, unplaced, onlyZone, round);
+        if (unplaced > 0 && !warm && !hold(s, priority(job), offers, unplaced) && pressing(job, round.now)) {
+            preempt(s, priority(job), unplaced, onlyZone, round);
         }
         if (team != null && team.limited()) {
             round.used.merge(s.team(), one.times(taken.size() - before), Amount::plus);
@@ -468,7 +482,7 @@
      * Rooms of owners that a chunk is not given to this time wait for its tasks all the same: lower work that took them
      * would only be stopped again. Whether there are any.
      */
-    private static boolean hold(JobSpec s, Map<String, List<Offer>> offers, int tasks) {
+    private static boolean hold(JobSpec s, JobSpec.Priority priority, Map<String, List<Offer>> offers, int tasks) {
         int left = tasks;
         boolean any = false;
         for (List<Offer> l : offers.values()) {
@@ -476,7 +490,7 @@
                 if (left > 0 && o.room().fits(s)) {
                     any = true;
                     left -= o.room().slots(s);
-                    o.room().awaitedBy = s.priority();
+                    o.room().awaitedBy = priority;
                 }
             }
         }
@@ -504,7 +518,7 @@
         for (Room room : round.open) {
             MachineRecord m = room.machine;
             if (!room.fits(s) || !s.allows(room.type, m.zone(), m.spot()) || onlyZone != null && !onlyZone.equals(m.zone())
-                    || room.awaitedBy != null && room.awaitedBy.compareTo(s.priority()) < 0
+                    || room.awaitedBy != null && room.awaitedBy.compareTo(priority(job)) < 0
                     || warm && !room.images.contains(s.image()) && !room.fetching.contains(s.image())
                     || !mayTakeLarge && room.type.cpus() > smallest && awaited.contains(room.type.name())) {
                 continue;
@@ -594,7 +608,7 @@
 
     /** Whether a job of high priority is about to miss the start that its class aims at. */
     private boolean pressing(Job job, Instant now) {
-        if (job.spec().priority().compareTo(JobSpec.Priority.NORMAL) >= 0) {
+        if (priority(job).compareTo(JobSpec.Priority.NORMAL) >= 0) {
             return false;
         }
         Instant latest = latestStart(job, now);
@@ -610,9 +624,9 @@
      * be in time afterwards is taken. The order does not depend on who looks, and until the stop is confirmed the same
      * claims are found again; so controllers and rounds do not stop more and more for the same need.
      */
-    private void preempt(JobSpec s, int tasks, String onlyZone, Round round) {
+    private void preempt(JobSpec s, JobSpec.Priority priority, int tasks, String onlyZone, Round round) {
         List<Victims> found = new ArrayList<>();
-        for (Stoppable r : round.stoppable.computeIfAbsent(s.priority(), p -> stoppable(p, round))) {
+        for (Stoppable r : round.stoppable.computeIfAbsent(priority, p -> stoppable(p, round))) {
             MachineRecord m = r.room.machine;
             if (s.allows(r.room.type, m.zone(), m.spot()) && (onlyZone == null || onlyZone.equals(m.zone()))) {
                 Victims v = victims(r, s, round.now);
@@ -694,10 +708,11 @@
             return false;
         }
         Job j = ledger.job(c.task().job());
-        if (j == null || j.cancelled() || j.spec().priority().compareTo(than) <= 0) {
+        if (j == null || j.cancelled() || priority(j).compareTo(than) <= 0) {
             return false;
         }
-        return j.due() == null || now.plus(AGAIN).plusMillis((long) (runSeconds(j) * 1000)).isBefore(j.due());
+        Instant due = due(j);
+        return due == null || now.plus(AGAIN).plusMillis((long) (runSeconds(j) * 1000)).isBefore(due);
     }
 
     /** The zone in which most tasks of a job that must stay together find room. */
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -1,6 +1,7 @@
 package org.havenford.coordination;
 
 import com.google.gson.JsonObject;
+import com.google.common.collect.Lists;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.time.Duration;
 import java.time.Instant;
@@ -64,6 +65,7 @@
     private final Membership membership;
     private final Fleet fleet;
     private final Planner planner;
+    private final Pipelines pipelines;
     private final Runnable wake;
     private final Set<String> busy = new HashSet<>();
     private final Object2ObjectOpenHashMap<String, Wait> waits = new Object2ObjectOpenHashMap<>();
@@ -113,6 +115,7 @@
         this.fleet = fleet;
         this.planner = new Planner(ledger, settings, operator, membership::owner);
         this.wake = wake;
+        this.pipelines = new Pipelines(loop, ledger, store, wake);
     }
 
     public Histogram roundMicros() {
@@ -132,6 +135,7 @@
         place(start);
         release();
         finish();
+        pipelines();
         sweep();
         shares(start);
         roundMicros.recordValue(Math.min(60_000_000L, Duration.between(start, loop.now()).toNanos() / 1000));
@@ -201,7 +205,12 @@
             txn.guard(Keys.job(job.id()), mirror.stamp(Keys.job(job.id())));
             txn.delete(key).delete(Keys.job(job.id())).set(Keys.end(job.id()), end("done", job));
         } else {
-            txn.set(key, next.toJson());
+            JsonObject value = json(next);
+            if (value == null) {
+                // Too large for now, as the version before wrote it; it goes when more of its tasks have ended.
+                return;
+            }
+            txn.set(key, value);
         }
         commit(txn, List.of(key), () -> ended.keySet().forEach(fleet.endings()::remove));
     }
@@ -213,6 +222,10 @@
         return o;
     }
 
+    private JsonObject json(Chunk c) {
+        return c.toJson(settings.valueBytes(), settings.presentValueBytes(), membership.allReadFormat2());
+    }
+
     private void commit(StateStore.Txn txn, List<String> locks, Runnable onSuccess) {
         commit(txn, StateStore.Urgency.WORK, locks, onSuccess, r -> { });
     }
@@ -330,6 +343,10 @@
 
     private void claim(String key, List<Planner.Placement> planned) {
         Job job = ledger.job(planned.get(0).task().job());
+        if (job.waiting()) {
+            // The plan leaves it out; that no task starts before its job is let go rests on this and on the header's guard.
+            return;
+        }
         Settings.Team team = settings.teams().get(job.spec().team());
         boolean limited = team != null && team.limited();
         boolean spread = job.spec().together() || job.spec().apart();
@@ -394,7 +411,11 @@
         if (claimed == 0) {
             return;
         }
-        txn.set(key, next.toJson());
+        JsonObject value = json(next);
+        if (value == null) {
+            return;
+        }
+        txn.set(key, value);
         Amount taken = new Amount(job.spec().cpus(), job.spec().cards()).times(claimed);
         Charge charge = limited ? new Charge(team.name(), taken, job.id(), key, mirror.stamp(key), membership.viewStamp()) : null;
         if (limited) {
@@ -577,6 +598,43 @@
         }
     }
 
+    // ---- jobs that wait for others
+
+    /** Lets go, or takes along, the jobs whose fate is decided by those that they need. One member looks after each. */
+    private void pipelines() {
+        List<String> withdrawn = new ArrayList<>();
+        for (String id : List.copyOf(ledger.waiting())) {
+            Job j = ledger.job(id);
+            if (j.cancelled() || busy.contains(Keys.job(id)) || !settings.node().equals(membership.view().rendezvous(id))) {
+                continue;
+            }
+            switch (pipelines.fate(j)) {
+                case WITHDRAWN -> withdrawn.add(id);
+                case DONE -> {
+                    String key = Keys.job(id);
+                    LOG.debug("{} has all that it awaits", id);
+                    commit(new StateStore.Txn().guard(key, mirror.stamp(key)).set(key, j.readyHeader(loop.timeOfDay())),
+                            StateStore.Urgency.CLAIM, List.of(key), () -> { }, r -> { });
+                }
+                default -> {
+                }
+            }
+        }
+        // It has never been let go, so it holds no task: with the guard on its header nobody can claim one any more.
+        for (List<String> some : Lists.partition(withdrawn, Math.max(1, settings.txnOps() / 2))) {
+            StateStore.Txn txn = new StateStore.Txn();
+            List<String> locks = new ArrayList<>();
+            for (String id : some) {
+                String key = Keys.job(id);
+                locks.add(key);
+                txn.guard(key, mirror.stamp(key)).set(Keys.end(id), end("withdrawn", ledger.job(id))).delete(key);
+                pipelines.known(id, Pipelines.Fate.WITHDRAWN);
+            }
+            LOG.info("withdrawn with a job that they need: {}", some);
+            commit(txn, StateStore.Urgency.CLAIM, locks, () -> { }, r -> { });
+        }
+    }
+
     /** Chunks of large jobs that are over. */
     private void sweep() {
         if (ledger.orphans().isEmpty() || busy.contains(SWEEP) || !settings.node().equals(membership.view().first())) {
@@ -600,7 +658,7 @@
             }
         }
         // A job of many chunks is taken down bit by bit; its header goes last, together with the final state.
-        boolean last = left <= Math.min(MAX_FINAL_CHUNKS, settings.txnOps() - 3);
+        boolean last = left <= Math.min(MAX_FINAL_CHUNKS, settings.txnOps() - 2);
         if (!last && done) {
             txn.set(Keys.end(j.id()), end("done", j)).delete(Keys.job(j.id()));
         } else if (last) {
--- a/src/main/java/org/havenford/coordination/Users.java
+++ b/src/main/java/org/havenford/coordination/Users.java
@@ -31,6 +31,8 @@
 /** What users ask. Whatever is not yet final is answered from the store itself, never from our copy alone. */
 public final class Users {
     private static final Duration SOON = Duration.ofSeconds(1);
+    /** What a cancellation adds to a header. */
+    private static final int CANCELLED_LENGTH = 24;
 
     private final EventLoop loop;
     private final Settings settings;
@@ -105,7 +107,38 @@
             read(spec.id(), r -> answer.accept(r.status() == 404 ? error(422, never) : r));
             return;
         }
-        accept(spec, answer);
+        Runnable accepted = () -> accept(spec, answer);
+        if (spec.awaits().isEmpty()) {
+            accepted.run();
+        } else {
+            awaited(List.copyOf(spec.awaits()), 0, spec, accepted, answer);
+        }
+    }
+
+    /**
+     * Goes on once each job that is named has been found to be accepted. Acceptance can't be undone, so it is read and need
+     * not be guarded. One that is in neither place is named before it was accepted, or never was.
+     */
+    private void awaited(List<String> ids, int from, JobSpec spec, Runnable accepted, Consumer<Response> answer) {
+        int i = from;
+        while (i < ids.size() && (ledger.job(ids.get(i)) != null || finals.getIfPresent(ids.get(i)) != null)) {
+            i++;
+        }
+        if (i == ids.size()) {
+            accepted.run();
+            return;
+        }
+        int at = i;
+        readFromStore(ids.get(i), r -> {
+            if (r.status() == 200) {
+                awaited(ids, at + 1, spec, accepted, answer);
+            } else if (r.status() == 404) {
+                // A job that is known already stays accepted, whatever this copy of it says.
+                read(spec.id(), own -> answer.accept(own.status() == 404 ? error(422, "awaits a job that was never accepted") : own));
+            } else {
+                answer.accept(r);
+            }
+        });
     }
 
     private String cannotRun(JobSpec s) {
@@ -136,6 +169,10 @@
         String id = spec.id();
         Job job = new Job(spec, loop.timeOfDay(), Job.chunkSize(settings.valueBytes(), spec.tasks(),
                 settings.peers().size() + 1), false);
+        if (job.readyHeader(loop.timeOfDay()).toString().getBytes(StandardCharsets.UTF_8).length + CANCELLED_LENGTH > settings.valueBytes()) {
+            answer.accept(error(400, "the names in this submission, and the jobs that it awaits, are too many to be kept"));
+            return;
+        }
         StateStore.Txn txn = new StateStore.Txn().guard(Keys.job(id), 0).guard(Keys.end(id), 0)
                 .set(Keys.job(id), job.header(false));
         store.commit(txn, StateStore.Urgency.USER, r -> {
--- a/src/main/java/org/havenford/protocol/JobSpec.java
+++ b/src/main/java/org/havenford/protocol/JobSpec.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Pattern;
@@ -10,7 +11,7 @@
 /** A job as its user described it. */
 public record JobSpec(String id, String lineup, String team, Priority priority, int tasks, double cpus, double cards,
         double memGb, Set<String> types, String zone, boolean together, boolean apart, boolean spot, String image,
-        double imageGb, Duration guess, Duration checkpoint, Duration save, Duration deadline) {
+        double imageGb, Duration guess, Duration checkpoint, Duration save, Duration deadline, Set<String> awaits) {
 
     private static final Pattern ID = Pattern.compile("j-[0-9]{1,40}");
     private static final int MAX_TASKS = 100_000;
@@ -60,7 +61,21 @@
                 Json.amount(o, "imageGb"), Json.seconds(o, "guessS"),
                 Json.seconds(o, "keyframeS"),
                 Json.seconds(o, "flushS"),
-                Json.has(o, "airtimeS") ? Json.seconds(o, "airtimeS") : null);
+                Json.has(o, "airtimeS") ? Json.seconds(o, "airtimeS") : null, awaits(o, id));
+    }
+
+    /** The jobs that must be done before any task starts; a name that comes twice counts once. */
+    private static Set<String> awaits(JsonObject o, String id) throws Json.BadMessage {
+        if (!Json.has(o, "awaits")) {
+            return Set.of();
+        }
+        Set<String> all = new TreeSet<>(Json.texts(o, "awaits"));
+        for (String a : all) {
+            if (!validId(a) || a.equals(id)) {
+                throw new Json.BadMessage("awaits must name other jobs");
+            }
+        }
+        return Collections.unmodifiableSet(all);
     }
 
     private static boolean flag(JsonObject o, String field) throws Json.BadMessage {
@@ -89,7 +104,7 @@
     /** Keeps of the allowed types those that exist, so that a stored job stays small. */
     public JobSpec withTypes(Set<String> kept) {
         return new JobSpec(id, lineup, team, priority, tasks, cpus, cards, memGb, kept, zone, together, apart, spot,
-                image, imageGb, guess, checkpoint, save, deadline);
+                image, imageGb, guess, checkpoint, save, deadline, awaits);
     }
 
     public JsonObject toJson() {
@@ -122,6 +137,11 @@
         if (deadline != null) {
             o.addProperty("airtimeS", seconds(deadline));
         }
+        if (!awaits.isEmpty()) {
+            JsonArray a = new JsonArray();
+            awaits.forEach(a::add);
+            o.add("awaits", a);
+        }
         return o;
     }
 
--- a/src/main/java/org/havenford/protocol/Settings.java
+++ b/src/main/java/org/havenford/protocol/Settings.java
@@ -10,10 +10,13 @@
 import java.util.List;
 import java.util.Map;
 
-/** The file that the platform hands over. Unknown fields are ignored. */
+/**
+ * The file that the platform hands over. Unknown fields are ignored. The state service's limits may be lowered to those of
+ * {@code state.next} at any moment: sizes are the smaller of both, {@code presentValueBytes} is what holds until then.
+ */
 public record Settings(String node, String zone, String bind, String peerListen, List<Peer> peers, String cloudAddress,
         String stateAddress, Map<String, Team> teams, Duration report, Duration workerLease, Duration cancel,
-        double stateRps, double stateWriteRps, int valueBytes, int txnOps, double cloudRps, Duration listLag,
+        double stateRps, double stateWriteRps, double nextWriteRps, int valueBytes, int presentValueBytes, int txnOps, double cloudRps, Duration listLag,
         int maxConnections, List<Objective> objectives) {
 
     public record Peer(String node, String zone, String address) {
@@ -40,6 +43,7 @@
         JsonObject deployment = Json.child(o, "deployment");
         JsonObject workers = Json.child(deployment, "workers");
         JsonObject state = Json.child(deployment, "state");
+        JsonObject next = Json.has(state, "next") ? Json.child(state, "next") : state;
         JsonObject cloud = Json.child(deployment, "cloud");
         JsonObject resources = Json.has(deployment, "resources") ? Json.child(deployment, "resources") : new JsonObject();
         List<Peer> peers = new ArrayList<>();
@@ -61,8 +65,8 @@
                 address(o, "cluster_listen"), List.copyOf(peers), address(endpoints, "cloud"),
                 address(endpoints, "state"), teams, Json.seconds(workers, "report_s"),
                 Json.seconds(workers, "lease_s"), Json.seconds(workers, "cancel_s"), positive(state, "rps"),
-                positive(state, "write_rps"), (int) (positive(state, "value_kb") * 1024),
-                (int) Math.max(4, Json.count(state, "txn_ops")), positive(cloud, "rps"),
+                positive(state, "write_rps"), smaller(state, next, "write_rps"), (int) (smaller(state, next, "value_kb") * 1024),
+                (int) (positive(state, "value_kb") * 1024), (int) Math.max(4, smaller(state, next, "txn_ops")), positive(cloud, "rps"),
                 Json.seconds(cloud, "list_lag_s"), (int) Json.amountOr(resources, "max_connections", 1000),
                 List.copyOf(objectives));
     }
@@ -75,6 +79,11 @@
         return d;
     }
 
+    private static double smaller(JsonObject now, JsonObject next, String field) throws Json.BadMessage {
+        double present = positive(now, field);
+        return Json.has(next, field) ? Math.min(present, positive(next, field)) : present;
+    }
+
     private static String address(JsonObject o, String field) throws Json.BadMessage {
         String a = Json.text(o, field);
         int colon = a.lastIndexOf(':');
--- a/src/test/java/org/havenford/world/InterfaceTest.java
+++ b/src/test/java/org/havenford/world/InterfaceTest.java
@@ -51,6 +51,33 @@
         assertEquals(400, ask("POST", "/checkin", "{\"box\":7}").status());
     }
 
+    private static String awaiting(String id, String awaits) {
+        return job(id, "red", 1, 1).replaceFirst("}$", ",\"awaits\":" + awaits + "}");
+    }
+
+    @Test
+    void whatASubmissionMayAwait() {
+        start();
+        assertEquals(400, ask("POST", "/submissions", awaiting("j-1", "\"j-2\"")).status());
+        assertEquals(400, ask("POST", "/submissions", awaiting("j-1", "[\"train\"]")).status());
+        assertEquals(400, ask("POST", "/submissions", awaiting("j-1", "[7]")).status());
+        assertEquals(400, ask("POST", "/submissions", awaiting("j-1", "[\"j-1\"]")).status());
+        assertEquals(422, ask("POST", "/submissions", awaiting("j-1", "[\"j-2\"]")).status());
+        assertEquals(404, ask("GET", "/submissions/j-1", null).status());
+        assertEquals(201, ask("POST", "/submissions", awaiting("j-2", "null")).status());
+        assertEquals(201, ask("POST", "/submissions", awaiting("j-1", "[\"j-2\",\"j-2\"]")).status());
+        assertEquals(200, ask("POST", "/submissions", awaiting("j-1", "[\"j-2\"]")).status());
+        assertEquals(200, ask("POST", "/submissions", awaiting("j-1", "[\"j-99\"]")).status(), "known already");
+        assertEquals(422, ask("POST", "/submissions", awaiting("j-3", "[\"j-2\",\"j-98\"]")).status());
+        assertTrue(ask("GET", "/submissions/j-1", null).body().contains("pending"));
+        ask("POST", "/submissions/j-2/abort", null);
+        assertTrue(ask("GET", "/submissions/j-1", null).body().contains("withdrawn"));
+        assertEquals(201, ask("POST", "/submissions", awaiting("j-4", "[\"j-2\"]")).status(), "accepted all the same");
+        assertTrue(ask("GET", "/submissions/j-4", null).body().contains("withdrawn"));
+        world.store.outage = true;
+        assertEquals(503, ask("POST", "/submissions", awaiting("j-5", "[\"j-97\"]")).status(), "not known, so not refused");
+    }
+
     @Test
     void aRepeatIsAnsweredWithTheStateAlsoWhenTheJobIsOver() {
         start();
