Where changes are scarce, urgent claims don't stand in line behind others

Now at most three claims wait; ends of jobs go with claims; where each controller's part of the changes is below six a second records take 32 tasks and releases are gathered for 8 s.

--- a/src/main/java/org/havenford/bookkeeping/Job.java
+++ b/src/main/java/org/havenford/bookkeeping/Job.java
@@ -44,13 +44,13 @@
     /** Tasks per key, so that a full chunk stays within the value limit. */
     public static int chunkSize(int valueBytes) {
         // Small values take more tasks than full records would allow: those are written in the short form.
-        return Math.max(Math.min(24, (valueBytes - 250) / 70), Math.max(4, Math.min(64, (valueBytes - 600) / 130)));
+        return Math.max(Math.min(32, (valueBytes - 250) / 56), Math.max(4, Math.min(64, (valueBytes - 600) / 130)));
     }
 
     /** Keys for the controllers to share a job by, none so small that a write says little. */
-    public static int chunkSize(int valueBytes, int tasks, int controllers) {
+    public static int chunkSize(int valueBytes, int tasks, int controllers, boolean scarceChanges) {
         int even = (tasks + controllers - 1) / Math.max(1, controllers);
-        return Math.min(chunkSize(valueBytes), Math.max(LEAST_CHUNK, even));
+        return Math.min(chunkSize(valueBytes), Math.max(scarceChanges ? 2 * LEAST_CHUNK : LEAST_CHUNK, even));
     }
 
     public JobSpec spec() {
--- a/src/main/java/org/havenford/coordination/Membership.java
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -375,6 +375,10 @@
         if (sameMembers) {
             moved.putAll(view.moved());
             moved.putAll(wantedMoves);
+            // The version before allowed more, which a smaller limit of values may not: a machine goes back to its hash's owner.
+            while (moved.size() > MAX_MOVES) {
+                moved.pollLastEntry();
+            }
         }
         TreeSet<String> resting = new TreeSet<>(view.resting());
         // Another life of a node starts afresh.
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -44,6 +44,10 @@
     /** Ends are written together, so that a job's tasks that end one after the other do not cost a change each. */
     private static final Duration GATHER = Duration.ofMillis(500);
     private static final Duration GATHER_PRESSED = Duration.ofSeconds(4);
+    private static final Duration GATHER_SCARCE = Duration.ofSeconds(8);
+    /** Claims that may wait for the store's limits: beyond, urgent work would stand in line behind what is not. */
+    private static final int MOST_WAITING_CLAIMS = 3;
+    private static final Duration REJECTED_RESTS = Duration.ofSeconds(20);
     private static final Duration COPY_PATIENCE = Duration.ofSeconds(1);
     /** After a claim has failed because of another's, each chunk is left to its first owner for a while. */
     private static final Duration CROWDED = Duration.ofSeconds(5);
@@ -66,6 +70,7 @@
     private final Fleet fleet;
     private final Planner planner;
     private final Pipelines pipelines;
+    private final Duration gatherPressed;
     private final Runnable wake;
     private final Set<String> busy = new HashSet<>();
     private final Object2ObjectOpenHashMap<String, Wait> waits = new Object2ObjectOpenHashMap<>();
@@ -115,6 +120,7 @@
         this.fleet = fleet;
         this.planner = new Planner(ledger, settings, operator, membership::owner);
         this.wake = wake;
+        this.gatherPressed = settings.scarceChanges() ? GATHER_SCARCE : GATHER_PRESSED;
         this.pipelines = new Pipelines(loop, ledger, store, wake);
     }
 
@@ -166,7 +172,7 @@
                         .put(claim, ending);
             }
         });
-        Duration gather = store.pressed() ? GATHER_PRESSED : GATHER;
+        Duration gather = store.pressed() ? gatherPressed : GATHER;
         Instant now = loop.now();
         byChunk.forEach((key, ended) -> {
             if (!busy.contains(key) && (now.isAfter(gathering.computeIfAbsent(key, k -> now).plus(gather)) || urgent(ended))) {
@@ -201,6 +207,11 @@
         Chunk next = job.stored(index).copy();
         apply(ended, next);
         StateStore.Txn txn = new StateStore.Txn().guard(Keys.VIEW, membership.viewStamp()).guard(key, mirror.stamp(key));
+        // Users and pipelines wait for the end of a job; it must not stand behind all claims.
+        StateStore.Urgency urgency = StateStore.Urgency.WORK;
+        if (job.pendingCount() == 0 && job.claimCount() == ended.size()) {
+            urgency = StateStore.Urgency.CLAIM;
+        }
         if (job.chunkCount() == 1 && next.complete() && !job.cancelled()) {
             txn.guard(Keys.job(job.id()), mirror.stamp(Keys.job(job.id())));
             txn.delete(key).delete(Keys.job(job.id())).set(Keys.end(job.id()), end("done", job));
@@ -212,7 +223,7 @@
             }
             txn.set(key, value);
         }
-        commit(txn, List.of(key), () -> ended.keySet().forEach(fleet.endings()::remove));
+        commit(txn, urgency, List.of(key), () -> ended.keySet().forEach(fleet.endings()::remove), r -> { });
     }
 
     private static JsonObject end(String status, Job job) {
@@ -233,6 +244,11 @@
     /** {@code after} hears of every result, of a good one when our copy shows it. */
     private void commit(StateStore.Txn txn, StateStore.Urgency urgency, List<String> locks, Runnable onSuccess,
             Consumer<StateStore.Result> after) {
+        commit(txn, urgency, false, locks, onSuccess, after);
+    }
+
+    private void commit(StateStore.Txn txn, StateStore.Urgency urgency, boolean isClaim, List<String> locks, Runnable onSuccess,
+            Consumer<StateStore.Result> after) {
         busy.addAll(locks);
         store.commit(txn, urgency, r -> {
             if (r.ok()) {
@@ -245,11 +261,12 @@
             }
             after.accept(r);
             if (r.outcome() == StateStore.Outcome.CONFLICT) {
-                crowdedUntil = urgency == StateStore.Urgency.CLAIM ? loop.now().plus(CROWDED) : crowdedUntil;
+                crowdedUntil = isClaim ? loop.now().plus(CROWDED) : crowdedUntil;
                 outdated(r, locks);
                 return;
             }
-            loop.after(Duration.ofMillis(250), () -> {
+            // What the service calls malformed or too large would be so again: it is in the log, and other work comes first.
+            loop.after(r.outcome() == StateStore.Outcome.REJECTED ? REJECTED_RESTS : Duration.ofMillis(250), () -> {
                 busy.removeAll(locks);
                 wake.run();
             });
@@ -316,7 +333,13 @@
         }
         waits.entrySet().removeIf(w -> !foreign.contains(w.getKey()) && start.isAfter(w.getValue().since.plus(FOREIGN_PATIENCE.multipliedBy(4))));
         withoutRoom.values().removeIf(w -> w[1].isBefore(start.minus(HELP_AFTER)));
-        mine.forEach(this::claim);
+        for (Map.Entry<String, List<Planner.Placement>> e : mine.entrySet()) {
+            if (store.queued(StateStore.Urgency.CLAIM) >= MOST_WAITING_CLAIMS) {
+                // What waits for the store's limits goes in the order in which it came: the next round decides anew who is first.
+                break;
+            }
+            claim(e.getKey(), e.getValue());
+        }
         plan.preempted().forEach(fleet::preempt);
     }
 
@@ -428,7 +451,7 @@
             }
         });
         each.forEach(name -> underWay.computeIfAbsent(name, n -> new ArrayList<>()).add(job.spec()));
-        commit(txn, StateStore.Urgency.CLAIM, locks, () -> {
+        commit(txn, StateStore.Urgency.CLAIM, true, locks, () -> {
             ended.keySet().forEach(fleet.endings()::remove);
             loop.after(Duration.ZERO, () -> machines.forEach(name -> {
                 MachineState m = fleet.state(name);
@@ -677,6 +700,7 @@
                 }
             }
         }
-        commit(txn, List.of(Keys.job(j.id())), () -> LOG.debug("{} concluded", j.id()));
+        commit(txn, last || done ? StateStore.Urgency.CLAIM : StateStore.Urgency.WORK, List.of(Keys.job(j.id())),
+                () -> LOG.debug("{} concluded", j.id()), r -> { });
     }
 }
--- a/src/main/java/org/havenford/coordination/Users.java
+++ b/src/main/java/org/havenford/coordination/Users.java
@@ -168,7 +168,7 @@
         }
         String id = spec.id();
         Job job = new Job(spec, loop.timeOfDay(), Job.chunkSize(settings.valueBytes(), spec.tasks(),
-                settings.peers().size() + 1), false);
+                settings.peers().size() + 1, settings.scarceChanges()), false);
         if (job.readyHeader(loop.timeOfDay()).toString().getBytes(StandardCharsets.UTF_8).length + CANCELLED_LENGTH > settings.valueBytes()) {
             answer.accept(error(400, "the names in this submission, and the jobs that it awaits, are too many to be kept"));
             return;
--- a/src/main/java/org/havenford/protocol/Settings.java
+++ b/src/main/java/org/havenford/protocol/Settings.java
@@ -19,6 +19,9 @@
         double stateRps, double stateWriteRps, double nextWriteRps, int valueBytes, int presentValueBytes, int txnOps, double cloudRps, Duration listLag,
         int maxConnections, List<Objective> objectives) {
 
+    /** Changes a second and controller below which records are made as large, and releases gathered as long, as can be. */
+    private static final double SCARCE = 6;
+
     public record Peer(String node, String zone, String address) {
     }
 
@@ -33,6 +36,11 @@
         }
     }
 
+    /** Whether each controller's part of the changes that the state service takes, now or later, is so small that each must do much. */
+    public boolean scarceChanges() {
+        return nextWriteRps / (peers.size() + 1) < SCARCE;
+    }
+
     public static Settings read(Path file) throws IOException, Json.BadMessage {
         return parse(Files.readString(file));
     }
