--- a/src/test/java/org/havenford/world/Cloud.java
+++ b/src/test/java/org/havenford/world/Cloud.java
@@ -19,6 +19,7 @@
 /** A stand-in for the cloud: one small and one large type in each of three zones. */
 final class Cloud implements World.Server {
     static final Map<String, double[]> TYPES = Map.of("small", new double[] {4, 32}, "large", new double[] {16, 64});
+    static final double FETCH_GB_PER_S = 0.5;
     private static final int PER_OFFER = 3;
 
     private final World world;
@@ -89,7 +90,7 @@
                 o.addProperty("cards", 0);
                 o.addProperty("memGb", size[1]);
                 o.addProperty("localGb", 40);
-                o.addProperty("fetchGbPerS", 0.5);
+                o.addProperty("fetchGbPerS", FETCH_GB_PER_S);
                 o.addProperty("hourly", size[0] * 0.06);
                 o.addProperty("spotPrice", size[0] * 0.02);
                 o.addProperty("bootS", 20);
--- /dev/null
+++ b/src/test/java/org/havenford/world/PlacementTest.java
@@ -0,0 +1,79 @@
+package org.havenford.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/** Where tasks may run: the checker knows all five constraints, and days are drawn on which most jobs have some. */
+class PlacementTest {
+    /** What the checker finds when a broken controller starts tasks of one job on the given machines. */
+    private static List<String> wrongPlaces(String job, String... machines) {
+        List<String> lines = new ArrayList<>(List.of(
+                "team red 0 0",
+                // Nothing fits beside this job, so the machines start only what is forged.
+                "machine small a ordinary",
+                "machine large b ordinary",
+                "machine small a spot",
+                "machine small b ordinary",
+                "at 3 submit j-1 red " + job));
+        for (int i = 0; i < machines.length; i++) {
+            lines.add("at 3 forge-start " + machines[i] + " j-1/" + i);
+        }
+        lines.add("until 3.1");
+        World[] world = new World[1];
+        return Trace.play(lines, world).stream()
+                .filter(w -> w.contains("wrong_place"))
+                .toList();
+    }
+
+    private static void assertSees(String constraint, List<String> wrong) {
+        assertEquals(1, wrong.size(), wrong::toString);
+        assertTrue(wrong.get(0).contains("wrong_place: " + constraint + ": "), wrong::toString);
+    }
+
+    @Test
+    void theCheckerSeesATypeThatIsNotAllowed() {
+        assertSees("type", wrongPlaces("1 1 30 types=large", "host-000000"));
+        assertEquals(List.of(), wrongPlaces("1 1 30 types=large", "host-000001"));
+    }
+
+    @Test
+    void theCheckerSeesAZoneThatIsNotAllowed() {
+        assertSees("zone", wrongPlaces("1 1 30 zone=b", "host-000000"));
+        assertEquals(List.of(), wrongPlaces("1 1 30 zone=b", "host-000001"));
+    }
+
+    @Test
+    void theCheckerSeesASpotMachineThatIsNotAllowed() {
+        assertSees("kind", wrongPlaces("1 1 30 ordinary", "host-000002"));
+        assertEquals(List.of(), wrongPlaces("1 1 30 ordinary", "host-000000"));
+    }
+
+    @Test
+    void theCheckerSeesTasksInTwoZonesThatMustStayTogether() {
+        assertSees("together", wrongPlaces("3 1 30 together", "host-000001", "host-000003", "host-000000"));
+        assertEquals(List.of(), wrongPlaces("3 1 30 together", "host-000001", "host-000003", "host-000003"));
+    }
+
+    @Test
+    void theCheckerSeesTooManyTasksInAZoneThatMustStayApart() {
+        assertSees("apart", wrongPlaces("3 1 30 apart", "host-000001", "host-000003", "host-000003"));
+        assertEquals(List.of(), wrongPlaces("3 1 30 apart", "host-000001", "host-000003", "host-000000"));
+    }
+
+    @TestFactory
+    Stream<DynamicTest> constrainedJobsAmidTroubles() {
+        return DrawnDays.play(12, DrawnDays::placements);
+    }
+
+    @TestFactory
+    Stream<DynamicTest> constrainedJobsAmidAnUpgrade() {
+        return DrawnDays.play(6, DrawnDays::placementsAmidAnUpgrade);
+    }
+}
--- a/src/test/java/org/havenford/world/Rules.java
+++ b/src/test/java/org/havenford/world/Rules.java
@@ -65,29 +65,8 @@
         if (j.begun == null) {
             j.begun = world.now;
         }
-        if (on.spot && !j.spot || j.zone != null && !j.zone.equals(on.zone)) {
-            broken("wrong_place", t.shot + " on " + on.name);
-        }
-        int same = 0;
-        for (Worker w : world.workers.values()) {
-            for (Worker.Task o : w.tasks.values()) {
-                if (o != t && on(w, o) && o.shot.equals(t.shot)) {
-                    broken("ran_twice", t.shot + " on " + w.name + " and " + on.name);
-                }
-                if (j.together
-                        && on(w, o)
-                        && !w.zone.equals(on.zone)
-                        && jobOf(o.shot).equals(j.id)) {
-                    broken("wrong_place", t.shot + " in zone " + on.zone + ", " + o.shot + " in zone " + w.zone);
-                }
-                if (on(w, o) && w.zone.equals(on.zone) && jobOf(o.shot).equals(j.id)) {
-                    same++;
-                }
-            }
-        }
-        if (j.apart && same > (j.tasks + 1) / 2) {
-            broken("wrong_place", j.id + " has " + same + " tasks in zone " + on.zone);
-        }
+        checkOnce(on, t);
+        checkPlace(on, t, j);
         for (String a : j.awaits) {
             JsonElement end = world.store.value("final/" + a);
             if (end == null
@@ -104,6 +83,57 @@
         }
     }
 
+    private void checkOnce(Worker on, Worker.Task t) {
+        for (Worker w : world.workers.values()) {
+            for (Worker.Task o : w.tasks.values()) {
+                if (o != t && on(w, o) && o.shot.equals(t.shot)) {
+                    broken("ran_twice", t.shot + " on " + w.name + " and " + on.name);
+                }
+            }
+        }
+    }
+
+    /** All five constraints of a job, given its other tasks that are on machines at this moment. */
+    private void checkPlace(Worker on, Worker.Task t, Users.Job j) {
+        if (!j.types.isEmpty() && !j.types.contains(on.type)) {
+            wrongPlace("type", t.shot + " on " + on.name + ", which is " + on.type + ", not of " + j.types);
+        }
+        if (j.zone != null && !j.zone.equals(on.zone)) {
+            wrongPlace("zone", t.shot + " in zone " + on.zone + ", not " + j.zone);
+        }
+        if (on.spot && !j.spot) {
+            wrongPlace("kind", t.shot + " on " + on.name + ", a spot machine");
+        }
+        Map<String, Integer> byZone = tasksByZone(j);
+        if (j.together && byZone.size() > 1) {
+            wrongPlace("together", t.shot + " on " + on.name + ", tasks by zone " + byZone);
+        }
+        if (j.apart && byZone.getOrDefault(on.zone, 0) > mostInOneZone(j)) {
+            wrongPlace("apart", t.shot + " on " + on.name + ", of " + j.tasks + " tasks by zone " + byZone);
+        }
+    }
+
+    private void wrongPlace(String constraint, String what) {
+        broken("wrong_place", constraint + ": " + what);
+    }
+
+    private static int mostInOneZone(Users.Job j) {
+        return (j.tasks + 1) / 2;
+    }
+
+    /** How many tasks of a job are on machines of each zone. */
+    private Map<String, Integer> tasksByZone(Users.Job j) {
+        Map<String, Integer> byZone = new TreeMap<>();
+        for (Worker w : world.workers.values()) {
+            for (Worker.Task o : w.tasks.values()) {
+                if (on(w, o) && jobOf(o.shot).equals(j.id)) {
+                    byZone.merge(w.zone, 1, Integer::sum);
+                }
+            }
+        }
+        return byZone;
+    }
+
     /** Once all troubles are over no job may wait this long while a machine that fits has room and its team is under its limit. */
     private void checkWaiting(Map<String, Double> used) {
         if (world.now.isBefore(troublesOver)) {
@@ -115,10 +145,13 @@
                     && j.doneTold == null
                     && !world.users.mayBeWithdrawn(j)
                     && j.awaits.stream().allMatch(a -> world.store.value("final/" + a) != null);
-            boolean pending = open && !j.apart && !j.together && unstarted(j);
+            boolean pending = open && unstarted(j);
             Settings.Team team = world.template.teams().get(j.team);
             boolean allowed = team.cpusMax() <= 0 || used.getOrDefault(j.team, 0.0) + j.cpus <= team.cpusMax() + 1e-6;
-            if (!pending || !allowed || world.workers.values().stream().noneMatch(w -> hasRoom(w, j))) {
+            Map<String, Integer> byZone = pending && allowed ? tasksByZone(j) : Map.of();
+            if (!pending
+                    || !allowed
+                    || world.workers.values().stream().noneMatch(w -> hasRoom(w, j) && mayJoin(w, j, byZone))) {
                 waiting.remove(j.id);
             } else if (Duration.between(waiting.computeIfAbsent(j.id, k -> world.now), world.now)
                             .compareTo(WAITS_AT_MOST)
@@ -141,6 +174,12 @@
         return false;
     }
 
+    /** Whether one more task may start in the machine's zone beside those that are on machines now. */
+    private static boolean mayJoin(Worker w, Users.Job j, Map<String, Integer> byZone) {
+        return (!j.together || byZone.isEmpty() || byZone.containsKey(w.zone))
+                && (!j.apart || byZone.getOrDefault(w.zone, 0) < mostInOneZone(j));
+    }
+
     private boolean hasRoom(Worker w, Users.Job j) {
         double taken = w.tasks.values().stream()
                 .filter(t -> !t.status.equals("exited"))
@@ -151,6 +190,7 @@
                 && !w.faulty
                 && w.notice == null
                 && (j.spot || !w.spot)
+                && (j.types.isEmpty() || j.types.contains(w.type))
                 && (j.zone == null || j.zone.equals(w.zone))
                 && taken + j.cpus <= Cloud.TYPES.get(w.type)[0] + 1e-6;
     }
--- a/src/test/java/org/havenford/world/Users.java
+++ b/src/test/java/org/havenford/world/Users.java
@@ -26,6 +26,10 @@
         boolean spot;
         boolean apart;
         boolean together;
+        /** The only allowed types of machines; empty for any. */
+        Set<String> types = Set.of();
+
+        double imageGb = 1;
         String zone;
         String urgency = "normal";
         double due;
@@ -93,6 +97,8 @@
             j.spot &= !o.equals("ordinary");
             j.lineup = o.startsWith("class=") ? o.substring(6) : j.lineup;
             j.zone = o.startsWith("zone=") ? o.substring(5) : j.zone;
+            j.types = o.startsWith("types=") ? Set.of(o.substring(6).split(",")) : j.types;
+            j.imageGb = o.startsWith("image-gb=") ? Double.parseDouble(o.substring(9)) : j.imageGb;
             j.urgency = o.equals("urgent") ? o : j.urgency;
             if (o.startsWith("awaits=")) {
                 j.awaits.addAll(List.of(o.substring(7).split(",")));
@@ -120,13 +126,18 @@
         o.addProperty("cards", 0.0);
         o.addProperty("memGb", 1.0);
         o.addProperty("reel", j.image);
-        o.addProperty("imageGb", 1.0);
+        o.addProperty("imageGb", j.imageGb);
         o.addProperty("together", j.together);
         o.addProperty("apart", j.apart);
         o.addProperty("borrowed", j.spot);
         if (j.zone != null) {
             o.addProperty("hall", j.zone);
         }
+        if (!j.types.isEmpty()) {
+            JsonArray rigs = new JsonArray();
+            j.types.stream().sorted().forEach(rigs::add);
+            o.add("rigs", rigs);
+        }
         o.addProperty("guessS", j.runS);
         o.addProperty("keyframeS", 0.0);
         o.addProperty("flushS", 0.0);
--- a/src/test/java/org/havenford/world/Worker.java
+++ b/src/test/java/org/havenford/world/Worker.java
@@ -299,8 +299,9 @@
             return;
         }
         t.status = "pulling";
-        Duration fetch =
-                images.contains(job.image) ? Duration.ofMillis(1) : Duration.ofMillis((long) (2000 * slowFetch));
+        Duration fetch = images.contains(job.image)
+                ? Duration.ofMillis(1)
+                : Duration.ofMillis((long) (1000 / Cloud.FETCH_GB_PER_S * job.imageGb * slowFetch));
         world.after(
                 fetch,
                 () -> act(() -> {
