--- /dev/null
+++ b/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
@@ -0,0 +1,293 @@
+package org.havenford.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.havenford.bookkeeping.Chunk;
+import org.havenford.bookkeeping.Claim;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.MachineBatch;
+import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.protocol.JobSpec;
+import org.havenford.protocol.Settings;
+import org.junit.jupiter.api.Test;
+
+/** One round of the planner, and whether what it places keeps to each job's constraints together with what is claimed. */
+class PlannerPlacementTest {
+    private static final Instant NOW = Instant.ofEpochSecond(1_700_000_000L);
+    private static final String SETTINGS = "{\"node_name\":\"n\",\"location\":\"a\",\"bind\":\"n:1\","
+            + "\"cluster_listen\":\"n:2\",\"others\":[],\"endpoints\":{\"cloud\":\"c:1\",\"state\":\"s:1\"},"
+            + "\"deployment\":{\"teams\":[{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0}],"
+            + "\"workers\":{\"report_s\":3,\"lease_s\":20,\"cancel_s\":44},"
+            + "\"state\":{\"rps\":300,\"write_rps\":150,\"value_kb\":8,\"txn_ops\":12},"
+            + "\"cloud\":{\"rps\":5,\"list_lag_s\":4}}}";
+    private static final String TYPES = "{\"rigs\":["
+            + "{\"name\":\"small\",\"vcpus\":4,\"memGb\":32,\"fetchGbPerS\":0.5,\"halls\":[\"a\",\"b\",\"c\"]},"
+            + "{\"name\":\"large\",\"vcpus\":16,\"memGb\":64,\"fetchGbPerS\":0.5,\"halls\":[\"a\",\"b\",\"c\"]}]}";
+    /** Tasks in a record, so that larger jobs have several. */
+    private static final int CHUNK = 4;
+
+    private final Ledger ledger = new Ledger();
+    private final Map<String, List<String>> images = new HashMap<>();
+    private final List<String> owners = new ArrayList<>(List.of("n"));
+    private long stamp;
+    private int machines;
+
+    PlannerPlacementTest() {
+        ledger.observer(new Quiet());
+        ledger.changed(Keys.TYPES, JsonParser.parseString(TYPES), ++stamp);
+    }
+
+    private static final class Quiet implements Ledger.Observer {
+        @Override
+        public void viewChanged(JsonObject view, long stamp) {}
+
+        @Override
+        public void memberChanged(String node, JsonObject member, long stamp) {}
+
+        @Override
+        public void machineChanged(String machine) {}
+
+        @Override
+        public void settled() {}
+
+        @Override
+        public void loaded() {}
+    }
+
+    private String machine(String type, String zone, boolean spot, String... cached) {
+        String name = String.format("host-%06d", machines++);
+        MachineBatch batch = MachineBatch.of("b-" + name, type, zone, spot, NOW.minusSeconds(300), List.of(name));
+        ledger.changed(Keys.batch(batch.name()), batch.toJson(), ++stamp);
+        images.put(name, List.of(cached));
+        return name;
+    }
+
+    private static JsonObject job(String id, int tasks, double cpus) {
+        JsonObject o = new JsonObject();
+        o.addProperty("nameId", id);
+        o.addProperty("lineup", "class");
+        o.addProperty("crew", "red");
+        o.addProperty("shape", "batch");
+        o.addProperty("urgency", "normal");
+        o.addProperty("shots", tasks);
+        o.addProperty("vcpus", cpus);
+        o.addProperty("cards", 0.0);
+        o.addProperty("memGb", 1.0);
+        o.addProperty("together", false);
+        o.addProperty("apart", false);
+        o.addProperty("borrowed", true);
+        o.addProperty("reel", "img");
+        o.addProperty("imageGb", 1.0);
+        o.addProperty("guessS", 20.0);
+        o.addProperty("keyframeS", 0.0);
+        o.addProperty("flushS", 0.0);
+        o.addProperty("_at", NOW.minusSeconds(1).toEpochMilli());
+        o.addProperty("_chunk", CHUNK);
+        return o;
+    }
+
+    /** With time to spare and an image that takes long against a run, a job is placed in several passes of one round. */
+    private static JsonObject withTimeAndLongImage(JsonObject job) {
+        job.addProperty("airtimeS", 160.0);
+        job.addProperty("imageGb", 10.0);
+        return job;
+    }
+
+    private void submit(JsonObject job) {
+        ledger.changed(Keys.job(job.get("nameId").getAsString()), job, ++stamp);
+    }
+
+    private void claim(String id, int task, String machine) {
+        Job job = ledger.job(id);
+        int index = job.chunkOf(task);
+        Chunk chunk = job.chunk(index).copy();
+        chunk.claim(task, machine, 1, NOW.minusSeconds(60), "");
+        ledger.changed(Keys.tasks(id, index), chunk.toJson(), ++stamp);
+    }
+
+    private Planner.Plan plan() throws Exception {
+        Planner planner = new Planner(ledger, Settings.parse(SETTINGS), Operator.DEFAULTS, this::owner);
+        return planner.plan(
+                NOW,
+                new Planner.Limits(
+                        m -> true,
+                        m -> images.get(m.name()),
+                        m -> MachineRecord.Condition.UP,
+                        j -> false,
+                        p -> false,
+                        c -> false,
+                        m -> List.of(),
+                        owners,
+                        (key, owner) -> false,
+                        key -> true,
+                        false,
+                        () -> false));
+    }
+
+    private String owner(String machine) {
+        return owners.get(Math.floorMod(machine.hashCode(), owners.size()));
+    }
+
+    /** Tasks of a job by zone, claimed or placed. */
+    private Map<String, Integer> byZone(String id, Planner.Plan plan) {
+        Map<String, Integer> zones = new TreeMap<>();
+        for (Claim c : ledger.job(id).claims()) {
+            MachineRecord m = ledger.machine(c.machine());
+            zones.merge(m == null ? "gone" : m.zone(), 1, Integer::sum);
+        }
+        for (Planner.Placement p : plan.placements()) {
+            if (p.task().job().equals(id)) {
+                zones.merge(ledger.machine(p.machine()).zone(), 1, Integer::sum);
+            }
+        }
+        return zones;
+    }
+
+    private static JsonObject with(JsonObject job, String constraint) {
+        job.addProperty(constraint, true);
+        return job;
+    }
+
+    /** The first pass places a task, the last fills up where its image is on its way: both count. */
+    @Test
+    void apartHoldsOverAllPassesOfARound() throws Exception {
+        machine("large", "a", false);
+        machine("large", "b", false);
+        submit(withTimeAndLongImage(with(job("j-1", 4, 4), "apart")));
+        Map<String, Integer> zones = byZone("j-1", plan());
+        assertFalse(zones.isEmpty());
+        assertTrue(zones.values().stream().allMatch(n -> n <= 2), zones::toString);
+    }
+
+    /** Zone a has most room at first; when the first pass has taken some, it is zone b, which has the image. */
+    @Test
+    void theZoneOfAJobThatStaysTogetherIsChosenOnceARound() throws Exception {
+        machine("large", "a", false);
+        for (int i = 0; i < 3; i++) {
+            machine("small", "b", false, "img");
+        }
+        submit(withTimeAndLongImage(with(job("j-1", 4, 4), "together")));
+        Map<String, Integer> zones = byZone("j-1", plan());
+        assertEquals(1, zones.size(), zones::toString);
+    }
+
+    /** A claim on a machine that is in no record may be in any zone. */
+    @Test
+    void tasksInAnUnknownZoneLeaveNoZoneToAJobThatStaysTogether() throws Exception {
+        machine("large", "a", false);
+        submit(with(job("j-1", 3, 1), "together"));
+        claim("j-1", 0, "host-999999");
+        assertEquals(List.of(), plan().placements());
+        claim("j-1", 1, machine("small", "b", false));
+        assertEquals(List.of(), plan().placements(), "not even where another task is");
+    }
+
+    @Test
+    void tasksInAnUnknownZoneCountInEachZoneOfAJobThatStaysApart() throws Exception {
+        machine("large", "a", false);
+        submit(with(job("j-1", 4, 1), "apart"));
+        claim("j-1", 0, "host-999999");
+        assertEquals(1, plan().placements().size());
+    }
+
+    /** Snapshots drawn from seeds, all five constraints alone and together, some tasks claimed before. */
+    @Test
+    void drawnSnapshots() throws Exception {
+        for (long seed = 1; seed <= 400; seed++) {
+            PlannerPlacementTest snapshot = new PlannerPlacementTest();
+            snapshot.draw(new SplittableRandom(seed));
+            snapshot.assertAllInPlace("seed " + seed, snapshot.plan());
+        }
+    }
+
+    private void draw(SplittableRandom r) {
+        if (r.nextBoolean()) {
+            owners.add("o");
+        }
+        for (int i = 6 + r.nextInt(20); i > 0; i--) {
+            machine(
+                    r.nextInt(3) == 0 ? "large" : "small",
+                    zone(r),
+                    r.nextBoolean(),
+                    r.nextInt(3) == 0 ? new String[] {"img-" + r.nextInt(3)} : new String[0]);
+        }
+        for (int i = 0; i < 8; i++) {
+            String id = "j-" + i;
+            JsonObject o = job(id, 1 + r.nextInt(14), 1 + r.nextInt(4));
+            o.addProperty("reel", "img-" + r.nextInt(3));
+            o.addProperty("together", r.nextInt(3) == 0);
+            o.addProperty("apart", r.nextInt(3) == 0);
+            o.addProperty("borrowed", r.nextInt(4) > 0);
+            if (r.nextInt(4) == 0) {
+                o.addProperty("hall", zone(r));
+            }
+            if (r.nextInt(4) == 0) {
+                JsonArray rigs = new JsonArray();
+                rigs.add(r.nextBoolean() ? "small" : "large");
+                o.add("rigs", rigs);
+            }
+            if (r.nextInt(3) > 0) {
+                withTimeAndLongImage(o);
+            }
+            if (r.nextInt(4) == 0) {
+                o.addProperty("urgency", "urgent");
+            }
+            submit(o);
+            if (r.nextInt(3) == 0) {
+                claimSomewhere(ledger.job(id).spec(), r);
+            }
+        }
+    }
+
+    private static String zone(SplittableRandom r) {
+        return List.of("a", "b", "c").get(r.nextInt(3));
+    }
+
+    /** A first task, on a machine that the job allows. */
+    private void claimSomewhere(JobSpec spec, SplittableRandom r) {
+        List<MachineRecord> allowed = new ArrayList<>();
+        for (MachineRecord m : ledger.machines()) {
+            if (spec.allows(ledger.types().get(m.type()), m.zone(), m.spot())
+                    && ledger.claimsOn(m.name()).isEmpty()) {
+                allowed.add(m);
+            }
+        }
+        allowed.sort(java.util.Comparator.comparing(MachineRecord::name));
+        if (!allowed.isEmpty()) {
+            claim(spec.id(), 0, allowed.get(r.nextInt(allowed.size())).name());
+        }
+    }
+
+    private void assertAllInPlace(String seed, Planner.Plan plan) {
+        for (Planner.Placement p : plan.placements()) {
+            MachineRecord m = ledger.machine(p.machine());
+            JobSpec spec = ledger.job(p.task().job()).spec();
+            assertTrue(
+                    spec.allows(ledger.types().get(m.type()), m.zone(), m.spot()),
+                    () -> seed + ": " + p.task() + " on " + m);
+        }
+        for (Job job : ledger.jobs()) {
+            JobSpec spec = job.spec();
+            Map<String, Integer> zones = byZone(job.id(), plan);
+            assertTrue(!spec.together() || zones.size() <= 1, () -> seed + ": together " + job.id() + " " + zones);
+            boolean apart = zones.values().stream().allMatch(n -> n <= (spec.tasks() + 1) / 2);
+            assertTrue(
+                    !spec.apart() || apart,
+                    () -> seed + ": apart " + job.id() + ", " + spec.tasks() + " tasks, " + zones);
+        }
+    }
+}
