A round's placements count for together and apart, whichever pass made them

Cause: a job with time to spare and a long image is placed in up to three passes of one round. Each pass counted the zones of its tasks from the ledger's claims, believing that what the round had placed before was among them. It was not: placements become claims after the round. So a job that stays apart got half of its tasks in a zone per pass, and one that stays together chose its zone anew in each pass. All went into one claim, whose guards could not see it, since nothing else had changed.

Mend: the round keeps the zones of a job's claims and placements together (TaskZones), and one place answers whether a task may start on a machine given the others (PlacementRules): planner, preemption, demand and submissions ask it. A claim on a machine without a record may be in any zone: a job that stays together is placed beside none. Preemption no longer stops work in zones where the job may not start, nor is room held there.

Ruled out: the claims of other controllers (guarded header), and the order in which the copy learns of claims.

--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -121,7 +121,8 @@
     }
 
     private static boolean allowed(JobSpec s, MachineType t, boolean spot) {
-        return t.zones().stream().anyMatch(z -> s.allows(t, z, spot));
+        return t.zones().stream()
+                .anyMatch(z -> PlacementRules.machine(s, t, z, spot).allowed());
     }
 
     /** Price of one task: its share of the machine while it fetches and runs. */
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/PlacementRules.java
@@ -0,0 +1,71 @@
+package org.havenford.coordination;
+
+import org.havenford.protocol.JobSpec;
+import org.havenford.protocol.MachineType;
+
+/**
+ * The one place that says whether a task of a job may start on a machine, given where the job's other tasks are. The
+ * planner, preemption, the provisioner, submissions and claims all ask here.
+ */
+final class PlacementRules {
+    /** The answer: allowed, or the first constraint of the job that the start would break. */
+    enum Verdict {
+        ALLOWED,
+        /** The task does not fit an empty machine of this type. */
+        TOO_SMALL,
+        /** The job names machine types, and this is none of them. */
+        WRONG_TYPE,
+        /** The job names another zone. */
+        WRONG_ZONE,
+        /** The job may not use spot machines. */
+        SPOT,
+        /** All tasks must be in one zone, and others are, or may be, in another. */
+        NOT_TOGETHER,
+        /** Half of the job's tasks are, or may be, in this zone already. */
+        NOT_APART;
+
+        boolean allowed() {
+            return this == ALLOWED;
+        }
+    }
+
+    private PlacementRules() {}
+
+    /** What the job says of machines, whatever its other tasks do. */
+    static Verdict machine(JobSpec spec, MachineType type, String zone, boolean spot) {
+        if (spec.types() != null && !spec.types().contains(type.name())) {
+            return Verdict.WRONG_TYPE;
+        }
+        if (spec.zone() != null && !spec.zone().equals(zone)) {
+            return Verdict.WRONG_ZONE;
+        }
+        if (spot && !spec.spot()) {
+            return Verdict.SPOT;
+        }
+        return spec.fits(type) ? Verdict.ALLOWED : Verdict.TOO_SMALL;
+    }
+
+    /** What the job says of zones, given its other tasks. */
+    static Verdict zone(JobSpec spec, String zone, TaskZones others) {
+        if (spec.together() && !others.allIn(zone)) {
+            return Verdict.NOT_TOGETHER;
+        }
+        return spec.apart() && others.mostIn(zone) >= mostInOneZone(spec) ? Verdict.NOT_APART : Verdict.ALLOWED;
+    }
+
+    /** Whether one more task may start on a machine. */
+    static Verdict task(JobSpec spec, MachineType type, String zone, boolean spot, TaskZones others) {
+        Verdict machine = machine(spec, type, zone, spot);
+        return machine.allowed() ? zone(spec, zone, others) : machine;
+    }
+
+    /** Whether it matters to a job where its other tasks are. */
+    static boolean dependOnOthers(JobSpec spec) {
+        return spec.together() || spec.apart();
+    }
+
+    /** How many tasks of a job that must stay apart one zone may hold. */
+    static int mostInOneZone(JobSpec spec) {
+        return (spec.tasks() + 1) / 2;
+    }
+}
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -261,6 +261,9 @@
         return out;
     }
 
+    /** For jobs to which it does not matter where their other tasks are; never added to. */
+    private static final TaskZones ANYWHERE = new TaskZones();
+
     /** What is decided in one round, and what it is decided on. */
     private static final class Round {
         private final Instant now;
@@ -270,6 +273,9 @@
         private final Map<String, Amount> used = new HashMap<>();
         private final Map<String, String> ownerOf = new HashMap<>();
         private final Map<String, Set<TaskId>> taken = new HashMap<>();
+        /** Of jobs that stay together or apart: their claims, and what any pass of this round has placed. */
+        private final Map<String, TaskZones> zones = new HashMap<>();
+
         private final Map<JobSpec.Priority, List<Stoppable>> stoppable = new EnumMap<>(JobSpec.Priority.class);
 
         Round(Instant now, Limits limits, List<FreeCapacity> open, Plan out) {
@@ -279,6 +285,16 @@
             this.out = out;
         }
 
+        /**
+         * Where a job's tasks are. A job may be placed in several passes of a round, all of which go into one claim: counted
+         * from the claims alone, a later pass would place what the passes together must not. apart-in-one-round.trace
+         */
+        TaskZones zonesOf(Job job, Ledger ledger) {
+            return PlacementRules.dependOnOthers(job.spec())
+                    ? zones.computeIfAbsent(job.id(), id -> TaskZones.ofClaims(job, ledger))
+                    : ANYWHERE;
+        }
+
         int placed(Job job) {
             return taken.getOrDefault(job.id(), Set.of()).size();
         }
@@ -325,20 +341,9 @@
         if (quota <= 0) {
             return;
         }
-        Map<String, Integer> zones = new HashMap<>();
-        if (s.together() || s.apart()) {
-            for (Claim c : job.claims()) {
-                MachineRecord m = ledger.machine(c.machine());
-                zones.merge(m == null ? "?" : m.zone(), 1, Integer::sum);
-            }
-        }
-        String onlyZone = null;
-        if (s.together()) {
-            onlyZone = zones.isEmpty()
-                    ? bestZone(s, round.open, job.pendingCount())
-                    : zones.keySet().iterator().next();
-        }
-        Map<String, List<Offer>> offers = offers(job, round, onlyZone, warm);
+        TaskZones zones = round.zonesOf(job, ledger);
+        String onlyZone = s.together() && zones.isEmpty() ? bestZone(s, round.open, job.pendingCount()) : null;
+        Map<String, List<Offer>> offers = offers(job, round, zones, onlyZone, warm);
         Set<TaskId> taken = round.taken.computeIfAbsent(job.id(), k -> new HashSet<>());
         int before = taken.size();
         int unplaced = offers.isEmpty() ? quota : 0;
@@ -365,8 +370,8 @@
             }
             unplaced += Math.min(quota, pending.size() - placed);
         }
-        if (unplaced > 0 && !warm && !hold(s, priority(job), offers, unplaced) && pressing(job, round.now)) {
-            preempt(s, priority(job), unplaced, onlyZone, round);
+        if (unplaced > 0 && !warm && !hold(s, priority(job), offers, zones, unplaced) && pressing(job, round.now)) {
+            preempt(s, priority(job), unplaced, zones, onlyZone, round);
         }
         if (team != null && team.limited()) {
             round.used.merge(s.team(), one.times(taken.size() - before), Amount::plus);
@@ -377,12 +382,16 @@
      * Rooms of owners that a chunk is not given to this time wait for its tasks all the same: lower work that took them
      * would only be stopped again. Whether there are any.
      */
-    private static boolean hold(JobSpec s, JobSpec.Priority priority, Map<String, List<Offer>> offers, int tasks) {
+    private static boolean hold(
+            JobSpec s, JobSpec.Priority priority, Map<String, List<Offer>> offers, TaskZones zones, int tasks) {
         int left = tasks;
         boolean any = false;
         for (List<Offer> l : offers.values()) {
             for (Offer o : l) {
-                if (left > 0 && o.room().fits(s)) {
+                if (left > 0
+                        && o.room().fits(s)
+                        && PlacementRules.zone(s, o.room().machine.zone(), zones)
+                                .allowed()) {
                     any = true;
                     left -= o.room().slots(s);
                     o.room().awaitedBy = priority;
@@ -404,7 +413,7 @@
     }
 
     /** What each owner's machines offer to tasks of a job, the best first. */
-    private Map<String, List<Offer>> offers(Job job, Round round, String onlyZone, boolean warm) {
+    private Map<String, List<Offer>> offers(Job job, Round round, TaskZones zones, String onlyZone, boolean warm) {
         JobSpec s = job.spec();
         double smallest = ledger.types().values().stream()
                 .filter(s::fits)
@@ -418,7 +427,8 @@
         for (FreeCapacity room : round.open) {
             MachineRecord m = room.machine;
             if (!room.fits(s)
-                    || !s.allows(room.type, m.zone(), m.spot())
+                    || !PlacementRules.task(s, room.type, m.zone(), m.spot(), zones)
+                            .allowed()
                     || onlyZone != null && !onlyZone.equals(m.zone())
                     || room.awaitedBy != null && room.awaitedBy.compareTo(priority(job)) < 0
                     || warm && !room.images.contains(s.image()) && !room.fetching.contains(s.image())
@@ -482,13 +492,7 @@
     }
 
     private int fill(
-            Chunk chunk,
-            List<TaskId> pending,
-            int most,
-            JobSpec s,
-            List<Offer> offers,
-            Map<String, Integer> zones,
-            Round round) {
+            Chunk chunk, List<TaskId> pending, int most, JobSpec s, List<Offer> offers, TaskZones zones, Round round) {
         int placed = 0;
         for (TaskId task : pending) {
             if (placed >= most) {
@@ -498,14 +502,16 @@
                 FreeCapacity room = o.room();
                 String zone = room.machine.zone();
                 if (!room.fits(s)
-                        || s.apart() && zones.getOrDefault(zone, 0) + zones.getOrDefault("?", 0) >= s.zoneCap()
+                        || !PlacementRules.zone(s, zone, zones).allowed()
                         || room.machine.name().equals(chunk.lateOn(task.index()))
                         || round.limits.avoided().test(new Placement(task, room.machine.name()))) {
                     continue;
                 }
                 room.take(s);
                 stale.add(room.machine.name());
-                zones.merge(zone, 1, Integer::sum);
+                if (PlacementRules.dependOnOthers(s)) {
+                    zones.add(zone);
+                }
                 round.out.placements().add(new Placement(task, room.machine.name()));
                 round.taken.get(s.id()).add(task);
                 placed++;
@@ -536,11 +542,14 @@
      * be in time afterwards is taken. The order does not depend on who looks, and until the stop is confirmed the same
      * claims are found again; so controllers and rounds do not stop more and more for the same need.
      */
-    private void preempt(JobSpec s, JobSpec.Priority priority, int tasks, String onlyZone, Round round) {
+    private void preempt(
+            JobSpec s, JobSpec.Priority priority, int tasks, TaskZones zones, String onlyZone, Round round) {
         List<Victims> found = new ArrayList<>();
         for (Stoppable r : round.stoppable.computeIfAbsent(priority, p -> stoppable(p, round))) {
             MachineRecord m = r.room.machine;
-            if (s.allows(r.room.type, m.zone(), m.spot()) && (onlyZone == null || onlyZone.equals(m.zone()))) {
+            boolean allowed = PlacementRules.task(s, r.room.type, m.zone(), m.spot(), zones)
+                    .allowed();
+            if (allowed && (onlyZone == null || onlyZone.equals(m.zone()))) {
                 Victims v = victims(r, s, round.now);
                 if (v != null) {
                     found.add(v);
@@ -550,18 +559,26 @@
         found.sort(Comparator.comparingLong(Victims::loss)
                 .thenComparing(v -> v.room().machine.name()));
         int made = 0;
+        TaskZones withMade = zones.copy();
         for (Victims v : found) {
             if (made >= tasks) {
                 return;
             }
+            String zone = v.room().machine.zone();
+            if (!PlacementRules.zone(s, zone, withMade).allowed()) {
+                continue;
+            }
             for (Claim c : v.claims()) {
                 v.room().give(ledger.job(c.task().job()).spec());
                 v.room().claims.remove(c);
                 round.out.preempted().add(c);
             }
             stale.add(v.room().machine.name());
-            while (made < tasks && v.room().fits(s)) {
+            while (made < tasks
+                    && v.room().fits(s)
+                    && PlacementRules.zone(s, zone, withMade).allowed()) {
                 v.room().take(s);
+                withMade.add(zone);
                 made++;
             }
         }
@@ -634,7 +651,9 @@
     private static String bestZone(JobSpec s, List<FreeCapacity> open, int pending) {
         Map<String, Integer> fit = new HashMap<>();
         for (FreeCapacity r : open) {
-            if (s.allows(r.type, r.machine.zone(), r.machine.spot()) && r.fits(s)) {
+            boolean allowed = PlacementRules.machine(s, r.type, r.machine.zone(), r.machine.spot())
+                    .allowed();
+            if (allowed && r.fits(s)) {
                 int n = (int) Math.min(pending, r.cpus / s.cpus() + 1e-6);
                 fit.merge(r.machine.zone(), n, Integer::sum);
             }
--- a/src/main/java/org/havenford/coordination/Submissions.java
+++ b/src/main/java/org/havenford/coordination/Submissions.java
@@ -72,7 +72,7 @@
         }
         for (MachineType type : context.ledger().types().values()) {
             for (String zone : type.zones()) {
-                if (spec.allows(type, zone, false)) {
+                if (PlacementRules.machine(spec, type, zone, false).allowed()) {
                     return null;
                 }
             }
--- a/src/main/java/org/havenford/protocol/JobSpec.java
+++ b/src/main/java/org/havenford/protocol/JobSpec.java
@@ -206,21 +206,8 @@
         return d.toNanos() / 1e9;
     }
 
-    /** Whether a task may run on such a machine. */
-    public boolean allows(MachineType type, String inZone, boolean onSpot) {
-        return (types == null || types.contains(type.name()))
-                && (zone == null || zone.equals(inZone))
-                && (spot || !onSpot)
-                && fits(type);
-    }
-
     /** Whether a task fits an empty machine. */
     public boolean fits(MachineType type) {
         return cpus <= type.cpus() && cards <= type.cards() && memGb <= type.memGb();
     }
-
-    /** Most tasks that one zone may hold. */
-    public int zoneCap() {
-        return apart ? (tasks + 1) / 2 : tasks;
-    }
 }
--- a/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
+++ b/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
@@ -253,6 +253,14 @@
         }
     }
 
+    /** What a job says of machines, worked out apart from the code that is tested. */
+    private boolean allows(JobSpec spec, MachineRecord m) {
+        return (spec.types() == null || spec.types().contains(m.type()))
+                && (spec.zone() == null || spec.zone().equals(m.zone()))
+                && (spec.spot() || !m.spot())
+                && spec.cpus() <= ledger.types().get(m.type()).cpus();
+    }
+
     private static String zone(SplittableRandom r) {
         return List.of("a", "b", "c").get(r.nextInt(3));
     }
@@ -261,8 +269,7 @@
     private void claimSomewhere(JobSpec spec, SplittableRandom r) {
         List<MachineRecord> allowed = new ArrayList<>();
         for (MachineRecord m : ledger.machines()) {
-            if (spec.allows(ledger.types().get(m.type()), m.zone(), m.spot())
-                    && ledger.claimsOn(m.name()).isEmpty()) {
+            if (allows(spec, m) && ledger.claimsOn(m.name()).isEmpty()) {
                 allowed.add(m);
             }
         }
@@ -276,9 +283,7 @@
         for (Planner.Placement p : plan.placements()) {
             MachineRecord m = ledger.machine(p.machine());
             JobSpec spec = ledger.job(p.task().job()).spec();
-            assertTrue(
-                    spec.allows(ledger.types().get(m.type()), m.zone(), m.spot()),
-                    () -> seed + ": " + p.task() + " on " + m);
+            assertTrue(allows(spec, m), () -> seed + ": " + p.task() + " on " + m);
         }
         for (Job job : ledger.jobs()) {
             JobSpec spec = job.spec();
