--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -78,6 +78,9 @@
     /** The same for a task that finds no room there. */
     private static final double NO_ROOM = 30;
 
+    /** How long a job with time to spare leaves a large machine that others need, even if it is idle, to them. */
+    private static final Duration PATIENCE_FOR_SMALLER = Duration.ofSeconds(60);
+
     private static final Duration PRESSING_BEFORE = Duration.ofSeconds(7);
     private static final Duration PRESSING_AFTER = Duration.ofSeconds(20);
     /** Work of more than this is not stopped for other work. */
@@ -422,7 +425,8 @@
                 .orElse(0);
         // A large machine that others wait for is not taken while there is time to wait for a small one.
         boolean mayTakeLarge =
-                !round.now.isBefore(order.latestStart(job, round.now).minus(PRESSING_BEFORE));
+                !round.now.isBefore(order.latestStart(job, round.now).minus(PRESSING_BEFORE))
+                        || !round.now.isBefore(job.released().plus(PATIENCE_FOR_SMALLER));
         Map<String, List<Offer>> offers = new TreeMap<>();
         for (FreeCapacity room : round.open) {
             MachineRecord m = room.machine;
