Placements are checked once more before a claim; machines that contradict their record get no work

A plan that would break a constraint of its job is not claimed and is logged as an error with job, task, machine and constraint. A machine that reports another type, zone or kind than its record is emptied and returned: taken out, contradicting-record.trace starts two tasks in the wrong zone. Unit tests for each constraint, alone and in pairs.

--- a/src/main/java/org/havenford/coordination/Claims.java
+++ b/src/main/java/org/havenford/coordination/Claims.java
@@ -236,7 +236,7 @@
         if (draft.locks.stream().anyMatch(context.writer()::isLocked)) {
             return;
         }
-        fill(draft, planned.subList(0, allowed), limited);
+        fill(draft, PlacementGuard.permitted(job, planned.subList(0, allowed), context.ledger()), limited);
         JsonObject value = draft.claimed == 0 ? null : context.toJson(draft.chunk);
         if (value == null) {
             return;
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -702,7 +702,7 @@
         if (heardLately) {
             c = m.unanswered >= MOST_UNANSWERED
                     ? Condition.SILENT
-                    : m.failedJobs.size() >= 2 || c == Condition.FAULTY
+                    : m.failedJobs.size() >= 2 || c == Condition.FAULTY || contradicts(m, r)
                             ? Condition.FAULTY
                             : m.noticeUntil != null ? Condition.DRAINING : Condition.UP;
         } else if (m.report == null && r.condition().compareTo(Condition.RETIRING) < 0) {
@@ -719,6 +719,27 @@
         }
     }
 
+    /**
+     * Whether a machine is not what its record says: then nobody knows what may run there, so it gets no more tasks and goes
+     * back to the cloud. contradicting-record.trace
+     */
+    private static boolean contradicts(MachineState m, MachineRecord r) {
+        Report report = m.report;
+        boolean same = report.type().equals(r.type()) && report.zone().equals(r.zone()) && report.spot() == r.spot();
+        if (!same && m.condition != Condition.FAULTY) {
+            LOG.error(
+                    "{} is on record as {}, zone {}, spot {}, and reports {}, zone {}, spot {}",
+                    m.name,
+                    r.type(),
+                    r.zone(),
+                    r.spot(),
+                    report.type(),
+                    report.zone(),
+                    report.spot());
+        }
+        return !same;
+    }
+
     /** The condition of a machine: of our own we know it before it is on record. */
     public Condition condition(MachineRecord r) {
         MachineState m =
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/PlacementGuard.java
@@ -0,0 +1,51 @@
+package org.havenford.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.protocol.MachineType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Looks at planned placements once more before they are claimed. A placement that would break a constraint of its job is
+ * never claimed; that there is one means a fault elsewhere, so it is logged as an error.
+ */
+final class PlacementGuard {
+    private static final Logger LOG = LoggerFactory.getLogger(PlacementGuard.class);
+
+    private PlacementGuard() {}
+
+    /** Those of the placements of one job that keep to its constraints, beside all its claims and each other. */
+    static List<Planner.Placement> permitted(Job job, List<Planner.Placement> planned, Ledger ledger) {
+        TaskZones zones = PlacementRules.dependOnOthers(job.spec()) ? TaskZones.ofClaims(job, ledger) : new TaskZones();
+        List<Planner.Placement> permitted = new ArrayList<>(planned.size());
+        for (Planner.Placement placement : planned) {
+            MachineRecord machine = ledger.machine(placement.machine());
+            MachineType type = machine == null ? null : ledger.types().get(machine.type());
+            if (type == null) {
+                // Gone since the plan was made.
+                continue;
+            }
+            PlacementRules.Verdict verdict =
+                    PlacementRules.task(job.spec(), type, machine.zone(), machine.spot(), zones);
+            if (verdict.allowed()) {
+                zones.add(machine.zone());
+                permitted.add(placement);
+            } else {
+                LOG.error(
+                        "{} was planned for {} ({}, zone {}, {}), which its job does not allow: {}; tasks by zone {}",
+                        placement.task(),
+                        machine.name(),
+                        machine.type(),
+                        machine.zone(),
+                        machine.spot() ? "spot" : "ordinary",
+                        verdict,
+                        zones);
+            }
+        }
+        return permitted;
+    }
+}
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -412,7 +412,7 @@
                 }
                 return age(r).compareTo(boot.multipliedBy(3).plusSeconds(20)) > 0 ? "it does not come up" : null;
             case FAULTY:
-                return ledger.claimsOn(r.name()).isEmpty() ? "tasks of several jobs failed on it" : null;
+                return ledger.claimsOn(r.name()).isEmpty() ? "its owner found it faulty" : null;
             case SILENT:
                 Duration patience =
                         operator.silentBeforeReturn().multipliedBy(silentZones.contains(r.zone()) ? ZONE_PATIENCE : 1);
--- a/src/main/java/org/havenford/coordination/TaskZones.java
+++ b/src/main/java/org/havenford/coordination/TaskZones.java
@@ -22,7 +22,7 @@
         for (Claim claim : job.claims()) {
             MachineRecord machine = ledger.machine(claim.machine());
             if (machine == null) {
-                zones.inUnknownZone++;
+                zones.addUnknown();
             } else {
                 zones.add(machine.zone());
             }
@@ -35,6 +35,11 @@
         byZone.merge(zone, 1, Integer::sum);
     }
 
+    /** One more task is in a zone that nobody knows. */
+    void addUnknown() {
+        inUnknownZone++;
+    }
+
     /** An independent copy. */
     TaskZones copy() {
         TaskZones copy = new TaskZones();
--- /dev/null
+++ b/src/test/java/org/havenford/coordination/PlacementRulesTest.java
@@ -0,0 +1,139 @@
+package org.havenford.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.havenford.coordination.PlacementRules.Verdict;
+import org.havenford.protocol.JobSpec;
+import org.havenford.protocol.MachineType;
+import org.junit.jupiter.api.Test;
+
+/** Each constraint of a job alone and beside others, with tasks that are, or may be, elsewhere. */
+class PlacementRulesTest {
+    private static final MachineType SMALL = type("small", 4);
+    private static final MachineType LARGE = type("large", 16);
+
+    private static MachineType type(String name, double cpus) {
+        return new MachineType(name, cpus, 0, 32, 40, 0.5, 1, 0.3, Duration.ofSeconds(30), List.of("a", "b", "c"));
+    }
+
+    /** A job of two CPUs a task; {@code constraints} are fields of its submission. */
+    private static JobSpec spec(int tasks, Map<String, Object> constraints) throws Exception {
+        JsonObject o = new JsonObject();
+        o.addProperty("nameId", "j-1");
+        o.addProperty("lineup", "class");
+        o.addProperty("crew", "red");
+        o.addProperty("shape", "batch");
+        o.addProperty("urgency", "normal");
+        o.addProperty("shots", tasks);
+        o.addProperty("vcpus", 2.0);
+        o.addProperty("cards", 0.0);
+        o.addProperty("memGb", 1.0);
+        o.addProperty("together", constraints.containsKey("together"));
+        o.addProperty("apart", constraints.containsKey("apart"));
+        o.addProperty("borrowed", !constraints.containsKey("ordinary"));
+        o.addProperty("reel", "img");
+        o.addProperty("imageGb", 1.0);
+        o.addProperty("guessS", 20.0);
+        o.addProperty("keyframeS", 0.0);
+        o.addProperty("flushS", 0.0);
+        if (constraints.containsKey("zone")) {
+            o.addProperty("hall", (String) constraints.get("zone"));
+        }
+        if (constraints.containsKey("types")) {
+            JsonArray types = new JsonArray();
+            ((List<?>) constraints.get("types")).forEach(t -> types.add((String) t));
+            o.add("rigs", types);
+        }
+        return JobSpec.parse(o);
+    }
+
+    private static TaskZones in(String... zones) {
+        TaskZones all = new TaskZones();
+        for (String zone : zones) {
+            if (zone.equals("unknown")) {
+                all.addUnknown();
+            } else {
+                all.add(zone);
+            }
+        }
+        return all;
+    }
+
+    private static Verdict check(JobSpec spec, MachineType type, String zone, boolean spot, String... others) {
+        return PlacementRules.task(spec, type, zone, spot, in(others));
+    }
+
+    @Test
+    void aTaskMustFitTheType() throws Exception {
+        MachineType tiny = type("tiny", 1);
+        assertEquals(Verdict.TOO_SMALL, check(spec(1, Map.of()), tiny, "a", false));
+        assertEquals(Verdict.ALLOWED, check(spec(1, Map.of()), SMALL, "a", true));
+    }
+
+    @Test
+    void namedTypes() throws Exception {
+        JobSpec large = spec(1, Map.of("types", List.of("large")));
+        assertEquals(Verdict.WRONG_TYPE, check(large, SMALL, "a", false));
+        assertEquals(Verdict.ALLOWED, check(large, LARGE, "a", false));
+        assertEquals(Verdict.WRONG_TYPE, check(spec(1, Map.of("types", List.of())), LARGE, "a", false), "none named");
+    }
+
+    @Test
+    void namedZone() throws Exception {
+        JobSpec inB = spec(1, Map.of("zone", "b"));
+        assertEquals(Verdict.WRONG_ZONE, check(inB, SMALL, "a", false));
+        assertEquals(Verdict.ALLOWED, check(inB, SMALL, "b", false));
+    }
+
+    @Test
+    void spotMachines() throws Exception {
+        JobSpec ordinary = spec(1, Map.of("ordinary", true));
+        assertEquals(Verdict.SPOT, check(ordinary, SMALL, "a", true));
+        assertEquals(Verdict.ALLOWED, check(ordinary, SMALL, "a", false));
+    }
+
+    @Test
+    void together() throws Exception {
+        JobSpec together = spec(5, Map.of("together", true));
+        assertEquals(Verdict.ALLOWED, check(together, SMALL, "a", false));
+        assertEquals(Verdict.ALLOWED, check(together, SMALL, "a", false, "a", "a"));
+        assertEquals(Verdict.NOT_TOGETHER, check(together, SMALL, "b", false, "a"));
+        assertEquals(Verdict.NOT_TOGETHER, check(together, SMALL, "a", false, "a", "b"), "split by a fault before");
+        assertEquals(Verdict.NOT_TOGETHER, check(together, SMALL, "a", false, "a", "unknown"));
+        assertEquals(Verdict.NOT_TOGETHER, check(together, SMALL, "a", false, "unknown"));
+    }
+
+    @Test
+    void apart() throws Exception {
+        JobSpec nine = spec(9, Map.of("apart", true));
+        assertEquals(Verdict.ALLOWED, check(nine, SMALL, "a", false, "a", "a", "a", "a"), "five of nine");
+        assertEquals(Verdict.NOT_APART, check(nine, SMALL, "a", false, "a", "a", "a", "a", "a"));
+        assertEquals(Verdict.ALLOWED, check(nine, SMALL, "b", false, "a", "a", "a", "a", "a"));
+        assertEquals(Verdict.NOT_APART, check(nine, SMALL, "b", false, "b", "b", "b", "unknown", "unknown"));
+        assertEquals(Verdict.ALLOWED, check(spec(1, Map.of("apart", true)), SMALL, "a", false), "one of one");
+    }
+
+    /** All tasks in one zone and no more than half of them at a time: they run in turns. */
+    @Test
+    void togetherAndApart() throws Exception {
+        JobSpec both = spec(4, Map.of("together", true, "apart", true));
+        assertEquals(Verdict.ALLOWED, check(both, SMALL, "a", false, "a"));
+        assertEquals(Verdict.NOT_APART, check(both, SMALL, "a", false, "a", "a"));
+        assertEquals(Verdict.NOT_TOGETHER, check(both, SMALL, "b", false, "a"));
+    }
+
+    @Test
+    void whatAJobSaysOfMachinesComesFirst() throws Exception {
+        JobSpec all = spec(4, Map.of("types", List.of("large"), "zone", "a", "ordinary", true, "apart", true));
+        assertEquals(Verdict.WRONG_TYPE, check(all, SMALL, "b", true, "a", "a"));
+        assertEquals(Verdict.WRONG_ZONE, check(all, LARGE, "b", true, "a", "a"));
+        assertEquals(Verdict.SPOT, check(all, LARGE, "a", true, "a", "a"));
+        assertEquals(Verdict.NOT_APART, check(all, LARGE, "a", false, "a", "a"));
+        assertEquals(Verdict.ALLOWED, check(all, LARGE, "a", false, "a", "b"));
+    }
+}
--- a/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
+++ b/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
@@ -9,6 +9,7 @@
 import com.google.gson.JsonParser;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
 import org.havenford.bookkeeping.MachineRecord;
 import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.Settings;
+import org.havenford.protocol.TaskId;
 import org.junit.jupiter.api.Test;
 
 /** One round of the planner, and whether what it places keeps to each job's constraints together with what is claimed. */
@@ -204,6 +206,41 @@
         assertEquals(1, plan().placements().size());
     }
 
+    /** What a faulty plan would place wrongly is not claimed; the rest is. */
+    @Test
+    void theGuardLetsNoWrongPlacementBeClaimed() {
+        String inA = machine("large", "a", false);
+        String inB = machine("large", "b", false);
+        String spotInA = machine("small", "a", true);
+        submit(with(job("j-1", 4, 1), "apart"));
+        claim("j-1", 0, inA);
+        assertEquals(List.of(1, 3), permitted("j-1", inA, inA, inB));
+        submit(with(job("j-2", 4, 1), "together"));
+        assertEquals(List.of(1, 3), permitted("j-2", inA, inB, inA), "the first placement decides");
+        JsonObject ordinaryInB = job("j-3", 4, 1);
+        ordinaryInB.addProperty("hall", "b");
+        submit(ordinaryInB);
+        assertEquals(List.of(2), permitted("j-3", inA, inB, spotInA, "host-999999"));
+        JsonObject onlyLarge = job("j-4", 4, 1);
+        JsonArray rigs = new JsonArray();
+        rigs.add("large");
+        onlyLarge.add("rigs", rigs);
+        onlyLarge.addProperty("borrowed", false);
+        submit(onlyLarge);
+        assertEquals(List.of(1), permitted("j-4", inA, spotInA));
+    }
+
+    /** Task 1 is planned for the first machine, task 2 for the second and so on; the tasks that may be claimed. */
+    private List<Integer> permitted(String id, String... planned) {
+        List<Planner.Placement> placements = new ArrayList<>();
+        for (int i = 0; i < planned.length; i++) {
+            placements.add(new Planner.Placement(new TaskId(id, i + 1), planned[i]));
+        }
+        return PlacementGuard.permitted(ledger.job(id), placements, ledger).stream()
+                .map(p -> p.task().index())
+                .toList();
+    }
+
     /** Snapshots drawn from seeds, all five constraints alone and together, some tasks claimed before. */
     @Test
     void drawnSnapshots() throws Exception {
@@ -273,7 +310,7 @@
                 allowed.add(m);
             }
         }
-        allowed.sort(java.util.Comparator.comparing(MachineRecord::name));
+        allowed.sort(Comparator.comparing(MachineRecord::name));
         if (!allowed.isEmpty()) {
             claim(spec.id(), 0, allowed.get(r.nextInt(allowed.size())).name());
         }
--- a/src/test/java/org/havenford/world/Store.java
+++ b/src/test/java/org/havenford/world/Store.java
@@ -86,6 +86,21 @@
         return v == null ? null : v.v;
     }
 
+    /** The record of the batch that a machine is in says another zone from now on: not a trouble but a fault of whoever wrote it. */
+    void forgeZone(String machine, String zone) {
+        for (Map.Entry<String, Value> e : List.copyOf(values.entrySet())) {
+            if (e.getKey().startsWith("live/machine/")
+                    && e.getValue().v.getAsJsonObject().getAsJsonObject("m").has(machine)) {
+                JsonObject batch = e.getValue().v.getAsJsonObject().deepCopy();
+                batch.addProperty("z", zone);
+                edition++;
+                values.put(e.getKey(), new Value(batch, edition, 0));
+                changes.add(new Change(edition, e.getKey(), batch));
+            }
+        }
+        notifyWatchers();
+    }
+
     void endOutage() {
         outage = false;
         leases.values().forEach(l -> l.until = world.now.plus(l.life));
--- a/src/test/java/org/havenford/world/Trace.java
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -231,6 +231,7 @@
             case "hang" -> w.workers.get(a).hang(true);
             case "wake" -> w.workers.get(a).hang(false);
             case "take" -> w.cloud.take(a);
+            case "forge-zone" -> w.store.forgeZone(a, e[4]);
             case "faulty" -> w.workers.get(a).faulty = true;
             case "slow-fetch" -> w.workers.get(a).slowFetch = Double.parseDouble(e[4]);
             case "notice" -> w.workers.get(a).notice = Double.parseDouble(e[4]);
