Machines are rented in the zone that a job is bound to

Cause: need was counted by type and kind alone, and rented where there are fewest machines; so a job bound to a zone without fitting machines waited for good while there were enough elsewhere by their number. Traces for a zone that is full, lost or cut off and for one zone left passed at once.

--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -22,6 +22,9 @@
     /** A type of machine, spot or ordinary. */
     public record Kind(String type, boolean spot) {}
 
+    /** A kind of machine in one zone, which is what the cloud rents out. */
+    record Offer(Kind kind, String zone) {}
+
     /** Tasks of one job that should be able to run at the same time; one that is stuck needs a whole machine to begin with. */
     record TaskDemand(JobSpec spec, double tasks, boolean stuck) {}
 
@@ -120,6 +123,50 @@
         return s.imageGb() / Math.max(0.01, rate);
     }
 
+    /**
+     * How many machines jobs that are bound to a zone need there, of the cheapest kind that they allow and that was not
+     * refused there lately. The number of machines elsewhere says nothing of them. bound-to-an-empty-zone.trace
+     */
+    static Object2DoubleOpenHashMap<Offer> boundToZones(
+            List<TaskDemand> taskDemands, Map<String, MachineType> types, Predicate<Offer> refused) {
+        Object2DoubleOpenHashMap<Offer> out = new Object2DoubleOpenHashMap<>();
+        for (TaskDemand demand : taskDemands) {
+            JobSpec spec = demand.spec();
+            if (spec.zone() != null && demand.tasks() > 0) {
+                offersIn(spec, types).stream()
+                        .filter(refused.negate())
+                        .min(Comparator.comparingDouble(offer -> cost(
+                                spec,
+                                types.get(offer.kind().type()),
+                                offer.kind().spot())))
+                        .ifPresent(offer -> out.addTo(offer, machinesIn(demand, offer, types)));
+            }
+        }
+        return out;
+    }
+
+    /** A small part of a machine would be rounded down to none for good. lone-ordinary-task.trace */
+    private static double machinesIn(TaskDemand demand, Offer offer, Map<String, MachineType> types) {
+        double need =
+                demand.tasks() / slots(demand.spec(), types.get(offer.kind().type()));
+        return demand.stuck() ? Math.max(1, need) : need;
+    }
+
+    /** What the cloud rents out in the job's zone that its tasks may run on. */
+    private static List<Offer> offersIn(JobSpec spec, Map<String, MachineType> types) {
+        List<Offer> offers = new ArrayList<>();
+        for (MachineType type : types.values()) {
+            for (boolean spot : new boolean[] {true, false}) {
+                boolean allowed = type.zones().contains(spec.zone())
+                        && PlacementRules.machine(spec, type, spec.zone(), spot).allowed();
+                if (allowed) {
+                    offers.add(new Offer(new Kind(type.name(), spot), spec.zone()));
+                }
+            }
+        }
+        return offers;
+    }
+
     private static boolean allowed(JobSpec s, MachineType t, boolean spot) {
         return t.zones().stream()
                 .anyMatch(z -> PlacementRules.machine(s, t, z, spot).allowed());
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -24,6 +24,8 @@
 import org.havenford.bookkeeping.StateStore;
 import org.havenford.bookkeeping.TokenBucket;
 import org.havenford.coordination.Demand.Kind;
+import org.havenford.coordination.Demand.Offer;
+import org.havenford.coordination.Demand.TaskDemand;
 import org.havenford.protocol.CloudMessages;
 import org.havenford.protocol.CloudMessages.Listed;
 import org.havenford.protocol.Json;
@@ -54,6 +56,8 @@
 
     private static final int MOST_RETURNED = 100;
     private static final int MOST_BOOKINGS = 3;
+    /** So small a part of a machine is not rented for. */
+    private static final double SPARE_PART = 0.05;
     /** How many times as long machines of a zone that is silent as a whole are waited for: a cut takes about a minute. */
     private static final int ZONE_PATIENCE = 3;
     /**
@@ -586,8 +590,10 @@
         }
         // The average follows all that could run at once, so that the next burst finds room; the need of the moment is
         // counted with patience, so that a burst does not fill the fleet with machines that come up too late for it.
-        Object2DoubleOpenHashMap<Kind> full = demand(false, now, have);
-        Object2DoubleOpenHashMap<Kind> least = demand(true, now, have);
+        List<TaskDemand> allDemands = Demand.taskDemands(ledger, settings, loop.timeOfDay(), false);
+        List<TaskDemand> leastDemands = Demand.taskDemands(ledger, settings, loop.timeOfDay(), true);
+        Object2DoubleOpenHashMap<Kind> full = machines(allDemands, now, have);
+        Object2DoubleOpenHashMap<Kind> least = machines(leastDemands, now, have);
         double weight = averagedAt == null
                 ? 1
                 : Math.min(1, Duration.between(averagedAt, now).toMillis() / (double) AVERAGE_OVER.toMillis());
@@ -611,7 +617,7 @@
                 double n = speedFirst || spot
                         ? Math.max(need, average.getDouble(k) * (1 + operator.spareShare()))
                         : sustained.getDouble(k);
-                wanted.put(k, (int) Math.ceil(n - 0.05));
+                wanted.put(k, (int) Math.ceil(n - SPARE_PART));
             }
         }
         if (LOG.isDebugEnabled()) {
@@ -623,46 +629,46 @@
             }
             LOG.debug("fleet: have {}, idle {}, wanted {}, needed {}, could use {}", have, idle, wanted, least, full);
         }
-        rent(now, wanted, have);
+        rent(now, wanted, have, boundToZones(speedFirst ? allDemands : leastDemands, now));
         trim(now, wanted, have);
     }
 
-    private Object2DoubleOpenHashMap<Kind> demand(boolean patient, Instant now, Map<Kind, Integer> have) {
-        return Demand.machines(
-                Demand.taskDemands(ledger, settings, loop.timeOfDay(), patient),
+    private Object2DoubleOpenHashMap<Kind> machines(List<TaskDemand> demands, Instant now, Map<Kind, Integer> have) {
+        return Demand.machines(demands, ledger.types(), k -> exhausted(k, now), have);
+    }
+
+    private Object2DoubleOpenHashMap<Offer> boundToZones(List<TaskDemand> demands, Instant now) {
+        return Demand.boundToZones(
+                demands,
                 ledger.types(),
-                k -> exhausted(k, now),
-                have);
+                o -> refusedLately(offer(o.kind().type(), o.zone(), o.kind().spot()), now));
+    }
+
+    /** Machines there are or were asked for, by kind and zone. */
+    private Map<Offer, Integer> byOffer() {
+        Map<Offer, Integer> out = new HashMap<>();
+        for (MachineRecord m : ledger.machines()) {
+            boolean stays = m.condition() == Condition.UP || m.condition() == Condition.BOOTING;
+            if (stays) {
+                out.merge(new Offer(new Kind(m.type(), m.spot()), m.zone()), 1, Integer::sum);
+            }
+        }
+        for (Booking b : ledger.bookings()) {
+            out.merge(new Offer(new Kind(b.type(), b.spot()), b.zone()), b.count(), Integer::sum);
+        }
+        return out;
     }
 
-    private void rent(Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have) {
-        int bookings = ledger.bookings().size();
+    private void rent(
+            Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have, Object2DoubleOpenHashMap<Offer> bound) {
+        StateStore.Txn txn = new StateStore.Txn();
+        Map<Kind, Integer> missing = new HashMap<>();
+        wanted.forEach((kind, number) -> missing.put(kind, number - have.getOrDefault(kind, 0)));
+        bookForZones(bound, missing, txn);
         List<Kind> kinds = new ArrayList<>(wanted.keySet());
         kinds.sort(Comparator.comparing(Kind::spot).reversed().thenComparing(Kind::type));
-        StateStore.Txn txn = new StateStore.Txn();
-        for (Kind k : kinds) {
-            int missing = wanted.get(k) - have.getOrDefault(k, 0);
-            // The zone with the fewest machines first.
-            Map<String, Integer> inZone = new HashMap<>();
-            for (MachineRecord m : ledger.machines()) {
-                if (m.type().equals(k.type())) {
-                    inZone.merge(m.zone(), 1, Integer::sum);
-                }
-            }
-            List<String> zones = new ArrayList<>(ledger.types().get(k.type()).zones());
-            zones.removeIf(z -> refusedLately(offer(k.type(), z, k.spot()), now));
-            zones.sort(Comparator.comparingInt((String z) -> inZone.getOrDefault(z, 0))
-                    .thenComparing(z -> z));
-            for (int i = 0; i < zones.size() && missing > 0 && bookings + txn.writes() < MOST_BOOKINGS; i++) {
-                // A need that is large is spread over the zones.
-                int count = Math.min(
-                        MOST_RENTED,
-                        missing <= MOST_RENTED / 2 ? missing : (missing + zones.size() - i - 1) / (zones.size() - i));
-                String name = unique("r");
-                Booking b = new Booking(name, k.type(), zones.get(i), k.spot(), count, loop.timeOfDay());
-                txn.guard(Keys.booking(name), 0).set(Keys.booking(name), b.toJson());
-                missing -= count;
-            }
+        for (Kind kind : kinds) {
+            bookAnywhere(kind, missing.get(kind), now, txn);
         }
         if (txn.writes() > 0 && !renting) {
             renting = true;
@@ -670,6 +676,59 @@
         }
     }
 
+    /** First what can't be met elsewhere. */
+    private void bookForZones(Object2DoubleOpenHashMap<Offer> bound, Map<Kind, Integer> missing, StateStore.Txn txn) {
+        if (bound.isEmpty()) {
+            return;
+        }
+        Map<Offer, Integer> there = byOffer();
+        List<Offer> offers = new ArrayList<>(bound.keySet());
+        offers.sort(Comparator.comparing(Offer::zone)
+                .thenComparing(o -> o.kind().type())
+                .thenComparing(o -> o.kind().spot()));
+        for (Offer offer : offers) {
+            int lacking = (int) Math.ceil(bound.getDouble(offer) - SPARE_PART) - there.getOrDefault(offer, 0);
+            if (lacking > 0 && mayBook(txn)) {
+                int count = Math.min(MOST_RENTED, lacking);
+                book(offer.kind(), offer.zone(), count, txn);
+                missing.merge(offer.kind(), -count, Integer::sum);
+            }
+        }
+    }
+
+    private void bookAnywhere(Kind kind, int number, Instant now, StateStore.Txn txn) {
+        int missing = number;
+        // The zone with the fewest machines first.
+        Map<String, Integer> inZone = new HashMap<>();
+        for (MachineRecord m : ledger.machines()) {
+            if (m.type().equals(kind.type())) {
+                inZone.merge(m.zone(), 1, Integer::sum);
+            }
+        }
+        List<String> zones = new ArrayList<>(ledger.types().get(kind.type()).zones());
+        zones.removeIf(z -> refusedLately(offer(kind.type(), z, kind.spot()), now));
+        zones.sort(
+                Comparator.comparingInt((String z) -> inZone.getOrDefault(z, 0)).thenComparing(z -> z));
+        for (int i = 0; i < zones.size() && missing > 0 && mayBook(txn); i++) {
+            // A need that is large is spread over the zones.
+            int count = Math.min(
+                    MOST_RENTED,
+                    missing <= MOST_RENTED / 2 ? missing : (missing + zones.size() - i - 1) / (zones.size() - i));
+            book(kind, zones.get(i), count, txn);
+            missing -= count;
+        }
+    }
+
+    private boolean mayBook(StateStore.Txn txn) {
+        return ledger.bookings().size() + txn.writes() < MOST_BOOKINGS;
+    }
+
+    private void book(Kind kind, String zone, int count, StateStore.Txn txn) {
+        String name = unique("r");
+        Booking booking = new Booking(name, kind.type(), zone, kind.spot(), count, loop.timeOfDay());
+        txn.guard(Keys.booking(name), 0).set(Keys.booking(name), booking.toJson());
+    }
+
     private void trim(Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have) {
         Duration patience =
                 speedFirst ? operator.idleBeforeReturn().multipliedBy(IDLE_FOR_SPEED) : operator.idleBeforeReturn();
