Planner split: rounds, preemption and passes apart; long waits end beside idle machines

PlanningRound holds all that the passes of a round count, Preemption what may be stopped; the passes have names of their own in place of sparing, held, warm, cap and room.

One change of what it does: a paced job (deadline, long image) that has waited a minute takes idle machines that nobody else has taken, with its image or without.

--- a/src/main/java/org/havenford/coordination/FreeCapacity.java
+++ b/src/main/java/org/havenford/coordination/FreeCapacity.java
@@ -12,7 +12,7 @@
 /** What is left on a machine; claims that are not confirmed gone count as taken. */
 final class FreeCapacity {
     /** Amounts are decimal numbers: what differs by less than this is equal. */
-    private static final double EPSILON = 1e-6;
+    static final double EPSILON = 1e-6;
     /** Least rate of image fetches that is reckoned with, in GB a second. */
     private static final double SLOWEST_FETCH = 0.01;
     /** Part of a fetch that is left, on average, when another task has begun it. */
@@ -29,7 +29,7 @@
     double cards;
     double mem;
     /** Work of this priority is about to take what room there is; it is not for lower work meanwhile. */
-    JobSpec.Priority awaitedBy;
+    JobSpec.Priority reservedFor;
 
     FreeCapacity(MachineRecord machine, MachineType type, List<String> images) {
         this.machine = machine;
@@ -44,6 +44,11 @@
         return s.cpus() <= cpus + EPSILON && s.cards() <= cards + EPSILON && s.memGb() <= mem + EPSILON;
     }
 
+    /** Whether an image is on the machine or on its way there. */
+    boolean hasOrFetches(String image) {
+        return images.contains(image) || fetching.contains(image);
+    }
+
     void take(JobSpec s) {
         cpus -= s.cpus();
         cards -= s.cards();
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -43,13 +42,13 @@
     /**
      * What the planner is told besides the ledger: how machines are, tasks that have ended without a release, claims under
      * way by machine, owners that have left a chunk lying, chunks that others than their first owner may take, and
-     * whether claims get into each other's way so much that each chunk is left to its first owner where that has room.
+     * whether claims get into each other's way so much that each chunk is left to its first owner where that has capacity.
      */
     public record Limits(
             Predicate<MachineRecord> usable,
             Function<MachineRecord, List<String>> images,
             Function<MachineRecord, MachineRecord.Condition> condition,
-            Predicate<Job> held,
+            Predicate<Job> backsOff,
             Predicate<Placement> avoided,
             Predicate<Claim> ended,
             Function<String, List<JobSpec>> underWay,
@@ -59,8 +58,8 @@
             boolean crowded,
             BooleanSupplier outOfTime) {}
 
-    /** A room that takes tasks of the job at hand, and what the next task costs there. */
-    private record Offer(double score, FreeCapacity room) {}
+    /** A capacity that takes tasks of the job at hand, and what the next task costs there. */
+    private record Offer(double score, FreeCapacity capacity) {}
 
     /** Seconds of fetching that it is worth to leave a large machine to those tasks that need one. */
     private static final double LARGER_THAN_NEEDED = 2;
@@ -75,18 +74,21 @@
 
     /** Seconds of fetching for which a chunk's tasks are left to the owner that comes first for them. */
     private static final double CHANGE_OF_OWNER = 0.8;
-    /** The same for a task that finds no room there. */
+    /** The same for a task that finds no capacity there. */
     private static final double NO_ROOM = 30;
 
-    /** How long a job with time to spare leaves a large machine that others need, even if it is idle, to them. */
-    private static final Duration PATIENCE_FOR_SMALLER = Duration.ofSeconds(60);
+    /**
+     * How long a job with time to spare leaves idle machines alone: large ones that others need, and those that would have to
+     * fetch its image first.
+     */
+    private static final Duration PATIENCE = Duration.ofSeconds(60);
 
-    private static final Duration PRESSING_BEFORE = Duration.ofSeconds(7);
-    private static final Duration PRESSING_AFTER = Duration.ofSeconds(20);
-    /** Work of more than this is not stopped for other work. */
-    private static final Duration MOST_LOST = Duration.ofSeconds(20);
-    /** Time that a stopped task is taken to need until it starts again. */
-    private static final Duration AGAIN = Duration.ofSeconds(25);
+    /** Machines that a pass of a round looks at. */
+    private enum Machines {
+        ALL,
+        /** Only where the job's image is, or is on its way. */
+        WITH_IMAGE
+    }
 
     private final Ledger ledger;
     private final Settings settings;
@@ -94,8 +96,9 @@
     private final UnaryOperator<String> owner;
     private Set<String> awaited = Set.of();
     private final JobOrder order;
+    private final Preemption preemption;
     /** What is left on the machines that take tasks, kept from round to round; those named in {@code stale} are worked out anew. */
-    private final TreeMap<String, FreeCapacity> rooms = new TreeMap<>();
+    private final TreeMap<String, FreeCapacity> capacities = new TreeMap<>();
 
     private final Set<String> stale = new HashSet<>();
     private boolean allStale = true;
@@ -109,6 +112,7 @@
         this.settings = settings;
         this.speedFirst = operator.speedFirst(settings);
         this.order = new JobOrder(ledger, settings);
+        this.preemption = new Preemption(ledger, order, capacities.values(), stale::add);
     }
 
     /**
@@ -165,141 +169,122 @@
     private void refresh(Limits limits) {
         if (allStale) {
             allStale = false;
-            rooms.clear();
+            capacities.clear();
             for (MachineRecord m : ledger.machines()) {
                 stale.add(m.name());
             }
         }
         for (String name : stale) {
-            FreeCapacity room = room(name, limits);
-            if (room == null) {
-                rooms.remove(name);
+            FreeCapacity capacity = capacity(name, limits);
+            if (capacity == null) {
+                capacities.remove(name);
             } else {
-                rooms.put(name, room);
+                capacities.put(name, capacity);
             }
         }
         stale.clear();
     }
 
-    private FreeCapacity room(String name, Limits limits) {
+    private FreeCapacity capacity(String name, Limits limits) {
         MachineRecord m = ledger.machine(name);
         MachineType type = m == null ? null : ledger.types().get(m.type());
         if (type == null || limits.condition().apply(m) != MachineRecord.Condition.UP) {
             return null;
         }
-        FreeCapacity room = new FreeCapacity(m, type, limits.images().apply(m));
+        FreeCapacity capacity = new FreeCapacity(m, type, limits.images().apply(m));
         for (Claim c : ledger.claimsOn(name).values()) {
             Job j = ledger.job(c.task().job());
-            // A task known to have ended leaves its room at once; its release is written with others, a moment later.
+            // A task known to have ended leaves its capacity at once; its release is written with others, a moment
+            // later.
             if (j != null && !limits.ended().test(c)) {
-                room.take(j.spec());
-                room.claims.add(c);
+                capacity.take(j.spec());
+                capacity.claims.add(c);
             }
         }
-        limits.underWay().apply(name).forEach(room::take);
-        return room;
+        limits.underWay().apply(name).forEach(capacity::take);
+        return capacity;
     }
 
-    /** Assigns pending tasks in order, until the room or the round's time is used up. */
+    /** Assigns pending tasks in order, until the capacity or the round's time is used up. */
     public Plan plan(Instant now, Limits limits) {
         Plan out = new Plan(new ArrayList<>(), new ArrayList<>());
         refresh(limits);
-        if (rooms.isEmpty()) {
+        if (capacities.isEmpty()) {
             return out;
         }
         List<Job> jobs = order.order(now);
         awaited = awaited(jobs);
-        int from = 0;
-        if (resumeAt != null) {
-            for (int i = 0; i < jobs.size(); i++) {
-                if (jobs.get(i).id().equals(resumeAt)) {
-                    from = i;
-                }
-            }
-            resumeAt = null;
-        }
-        List<FreeCapacity> open = new ArrayList<>();
-        for (FreeCapacity r : rooms.values()) {
-            if (r.cpus > 1e-6 && limits.usable().test(r.machine)) {
-                r.awaitedBy = null;
-                open.add(r);
-            }
-        }
-        Round round = new Round(now, limits, open, out);
-        boolean kept = false;
+        PlanningRound round = new PlanningRound(now, limits, open(limits), out);
+        boolean imagesKept = false;
+        int from = resumeFrom(jobs);
         for (int k = 0; k < jobs.size(); k++) {
             Job job = jobs.get((from + k) % jobs.size());
             if (k > 0 && limits.outOfTime().getAsBoolean()) {
                 resumeAt = job.id();
                 return out;
             }
-            if (limits.held().test(job)) {
+            if (limits.backsOff().test(job)) {
                 continue;
             }
-            boolean sparing = sparing(job);
-            if (sparing && !kept) {
-                // Jobs whose images take long keep the machines that have them, as far as they need them for their
-                // deadlines.
-                kept = true;
-                for (Job j : jobs) {
-                    if (sparing(j) && !limits.held().test(j)) {
-                        place(j, round, true, needed(j, now) - j.claimCount());
-                    }
-                }
+            boolean paced = isPaced(job);
+            if (paced && !imagesKept) {
+                imagesKept = true;
+                placeWhereImagesAre(jobs, round);
             }
-            place(
-                    job,
-                    round,
-                    false,
-                    sparing ? needed(job, now) - job.claimCount() - round.placed(job) : Integer.MAX_VALUE);
+            int most = paced ? tasksInTime(job, now) - job.claimCount() - round.placed(job) : Integer.MAX_VALUE;
+            place(job, round, Machines.ALL, most);
         }
-        if (kept) {
-            // What nobody else has taken.
-            for (Job j : jobs) {
-                if (sparing(j) && !limits.held().test(j) && !limits.outOfTime().getAsBoolean()) {
-                    place(j, round, true, Integer.MAX_VALUE);
-                }
-            }
+        if (imagesKept) {
+            placeOnWhatIsLeft(jobs, round);
         }
         return out;
     }
 
-    /** For jobs to which it does not matter where their other tasks are; never added to. */
-    private static final TaskZones ANYWHERE = new TaskZones();
-
-    /** What is decided in one round, and what it is decided on. */
-    private static final class Round {
-        private final Instant now;
-        private final Limits limits;
-        private final List<FreeCapacity> open;
-        private final Plan out;
-        private final Map<String, Amount> used = new HashMap<>();
-        private final Map<String, String> ownerOf = new HashMap<>();
-        private final Map<String, Set<TaskId>> taken = new HashMap<>();
-        /** Of jobs that stay together or apart: their claims, and what any pass of this round has placed. */
-        private final Map<String, TaskZones> zones = new HashMap<>();
-
-        private final Map<JobSpec.Priority, List<Stoppable>> stoppable = new EnumMap<>(JobSpec.Priority.class);
-
-        Round(Instant now, Limits limits, List<FreeCapacity> open, Plan out) {
-            this.now = now;
-            this.limits = limits;
-            this.open = open;
-            this.out = out;
+    /** Machines with free capacity that take new tasks. */
+    private List<FreeCapacity> open(Limits limits) {
+        List<FreeCapacity> open = new ArrayList<>();
+        for (FreeCapacity capacity : capacities.values()) {
+            if (capacity.cpus > FreeCapacity.EPSILON && limits.usable().test(capacity.machine)) {
+                capacity.reservedFor = null;
+                open.add(capacity);
+            }
+        }
+        return open;
+    }
+
+    /** Where the last round ran out of time; the first job if it did not, or that job is over. */
+    private int resumeFrom(List<Job> jobs) {
+        int from = 0;
+        if (resumeAt != null) {
+            for (int i = 0; i < jobs.size(); i++) {
+                if (jobs.get(i).id().equals(resumeAt)) {
+                    from = i;
+                }
+            }
+            resumeAt = null;
         }
+        return from;
+    }
 
-        /**
-         * Where a job's tasks are. A job may be placed in several passes of a round, all of which go into one claim: counted
-         * from the claims alone, a later pass would place what the passes together must not. apart-in-one-round.trace
-         */
-        TaskZones zonesOf(Job job, Ledger ledger) {
-            return PlacementRules.dependOnOthers(job.spec())
-                    ? zones.computeIfAbsent(job.id(), id -> TaskZones.ofClaims(job, ledger))
-                    : ANYWHERE;
+    /** Paced jobs keep the machines that have their images, as far as they need them for their deadlines. */
+    private void placeWhereImagesAre(List<Job> jobs, PlanningRound round) {
+        for (Job job : jobs) {
+            if (isPaced(job) && !round.limits.backsOff().test(job)) {
+                place(job, round, Machines.WITH_IMAGE, tasksInTime(job, round.now) - job.claimCount());
+            }
         }
+    }
 
-        int placed(Job job) {
-            return taken.getOrDefault(job.id(), Set.of()).size();
+    /** What nobody else has taken goes to paced jobs beyond their need; to those that have waited long, wherever it is. */
+    private void placeOnWhatIsLeft(List<Job> jobs, PlanningRound round) {
+        for (Job job : jobs) {
+            boolean takesMore = isPaced(job)
+                    && !round.limits.backsOff().test(job)
+                    && !round.limits.outOfTime().getAsBoolean();
+            if (takesMore) {
+                boolean waitedLong = !round.now.isBefore(job.released().plus(PATIENCE));
+                place(job, round, waitedLong ? Machines.ALL : Machines.WITH_IMAGE, Integer.MAX_VALUE);
+            }
         }
     }
 
@@ -312,15 +297,18 @@
         return s.imageGb() / Math.max(0.01, rate);
     }
 
-    /** A job with time to spare, whose image takes long against a run: it is cheaper on few machines that have it. */
-    private boolean sparing(Job j) {
+    /**
+     * A job with a deadline whose image takes long against a run is cheaper on few machines that have it: it gets no more
+     * than it needs to be in time.
+     */
+    private boolean isPaced(Job j) {
         return due(j) != null
                 && priority(j).compareTo(JobSpec.Priority.NORMAL) >= 0
                 && fetchAlone(j.spec()) >= LONG_FETCH * JobOrder.runSeconds(j);
     }
 
     /** Tasks that must run side by side for the job to be in time; of one that can't be, a third. */
-    private int needed(Job j, Instant now) {
+    private int tasksInTime(Job j, Instant now) {
         double run = JobOrder.runSeconds(j) * 1.15;
         double time =
                 Duration.between(now, due(j)).toMillis() / 1e3 - fetchAlone(j.spec()) * (j.claimCount() == 0 ? 1 : 0);
@@ -328,12 +316,12 @@
         return (int) Math.ceil((j.spec().tasks() - j.doneCount()) / turns);
     }
 
-    /** {@code cap} is how many tasks may be added; with {@code warm}, only where the image is or is on its way. */
-    private void place(Job job, Round round, boolean warm, int cap) {
+    /** Places tasks of a job, {@code most} at the most. */
+    private void place(Job job, PlanningRound round, Machines machines, int most) {
         JobSpec s = job.spec();
         Settings.Team team = settings.teams().get(s.team());
         Amount one = new Amount(s.cpus(), s.cards());
-        int quota = Math.min(cap, job.pendingCount() - round.placed(job));
+        int quota = Math.min(most, job.pendingCount() - round.placed(job));
         if (team != null && team.limited()) {
             quota = Math.min(quota, fitting(team, round.used.computeIfAbsent(s.team(), ledger::usage), one));
         }
@@ -346,7 +334,7 @@
         }
         TaskZones zones = round.zonesOf(job, ledger);
         String onlyZone = s.together() && zones.isEmpty() ? bestZone(s, round.open, job.pendingCount()) : null;
-        Map<String, List<Offer>> offers = offers(job, round, zones, onlyZone, warm);
+        Map<String, List<Offer>> offers = offers(job, round, zones, onlyZone, machines);
         Set<TaskId> taken = round.taken.computeIfAbsent(job.id(), k -> new HashSet<>());
         int before = taken.size();
         int unplaced = offers.isEmpty() ? quota : 0;
@@ -373,8 +361,11 @@
             }
             unplaced += Math.min(quota, pending.size() - placed);
         }
-        if (unplaced > 0 && !warm && !hold(s, priority(job), offers, zones, unplaced) && pressing(job, round.now)) {
-            preempt(s, priority(job), unplaced, zones, onlyZone, round);
+        if (unplaced > 0
+                && machines == Machines.ALL
+                && !reserve(s, priority(job), offers, zones, unplaced)
+                && preemption.isPressing(job, round.now)) {
+            preemption.preempt(s, priority(job), unplaced, zones, onlyZone, round);
         }
         if (team != null && team.limited()) {
             round.used.merge(s.team(), one.times(taken.size() - before), Amount::plus);
@@ -382,22 +373,22 @@
     }
 
     /**
-     * Rooms of owners that a chunk is not given to this time wait for its tasks all the same: lower work that took them
-     * would only be stopped again. Whether there are any.
+     * Capacity of owners that a chunk is not given to this time waits for its tasks all the same: lower work that took it
+     * would only be stopped again. Whether there is any.
      */
-    private static boolean hold(
+    private static boolean reserve(
             JobSpec s, JobSpec.Priority priority, Map<String, List<Offer>> offers, TaskZones zones, int tasks) {
         int left = tasks;
         boolean any = false;
         for (List<Offer> l : offers.values()) {
             for (Offer o : l) {
                 if (left > 0
-                        && o.room().fits(s)
-                        && PlacementRules.zone(s, o.room().machine.zone(), zones)
+                        && o.capacity().fits(s)
+                        && PlacementRules.zone(s, o.capacity().machine.zone(), zones)
                                 .allowed()) {
                     any = true;
-                    left -= o.room().slots(s);
-                    o.room().awaitedBy = priority;
+                    left -= o.capacity().slots(s);
+                    o.capacity().reservedFor = priority;
                 }
             }
         }
@@ -416,7 +407,8 @@
     }
 
     /** What each owner's machines offer to tasks of a job, the best first. */
-    private Map<String, List<Offer>> offers(Job job, Round round, TaskZones zones, String onlyZone, boolean warm) {
+    private Map<String, List<Offer>> offers(
+            Job job, PlanningRound round, TaskZones zones, String onlyZone, Machines machines) {
         JobSpec s = job.spec();
         double smallest = ledger.types().values().stream()
                 .filter(s::fits)
@@ -425,30 +417,30 @@
                 .orElse(0);
         // A large machine that others wait for is not taken while there is time to wait for a small one.
         boolean mayTakeLarge =
-                !round.now.isBefore(order.latestStart(job, round.now).minus(PRESSING_BEFORE))
-                        || !round.now.isBefore(job.released().plus(PATIENCE_FOR_SMALLER));
+                !round.now.isBefore(order.latestStart(job, round.now).minus(Preemption.PRESSING_BEFORE))
+                        || !round.now.isBefore(job.released().plus(PATIENCE));
         Map<String, List<Offer>> offers = new TreeMap<>();
-        for (FreeCapacity room : round.open) {
-            MachineRecord m = room.machine;
-            if (!room.fits(s)
-                    || !PlacementRules.task(s, room.type, m.zone(), m.spot(), zones)
+        for (FreeCapacity capacity : round.open) {
+            MachineRecord m = capacity.machine;
+            if (!capacity.fits(s)
+                    || !PlacementRules.task(s, capacity.type, m.zone(), m.spot(), zones)
                             .allowed()
                     || onlyZone != null && !onlyZone.equals(m.zone())
-                    || room.awaitedBy != null && room.awaitedBy.compareTo(priority(job)) < 0
-                    || warm && !room.images.contains(s.image()) && !room.fetching.contains(s.image())
-                    || !mayTakeLarge && room.type.cpus() > smallest && awaited.contains(room.type.name())) {
+                    || capacity.reservedFor != null && capacity.reservedFor.compareTo(priority(job)) < 0
+                    || machines == Machines.WITH_IMAGE && !capacity.hasOrFetches(s.image())
+                    || !mayTakeLarge && capacity.type.cpus() > smallest && awaited.contains(capacity.type.name())) {
                 continue;
             }
-            double score = room.fetchSeconds(s)
-                    + (room.cpus - s.cpus()) / room.type.cpus()
-                    + largePenalty(room.type, smallest)
+            double score = capacity.fetchSeconds(s)
+                    + (capacity.cpus - s.cpus()) / capacity.type.cpus()
+                    + largePenalty(capacity.type, smallest)
                     + kindPenalty(s, m);
             offers.computeIfAbsent(owner.apply(m.name()), o -> new ArrayList<>())
-                    .add(new Offer(score, room));
+                    .add(new Offer(score, capacity));
         }
         for (List<Offer> l : offers.values()) {
             l.sort(Comparator.comparingDouble(Offer::score)
-                    .thenComparing(o -> o.room().machine.name()));
+                    .thenComparing(o -> o.capacity().machine.name()));
         }
         return offers;
     }
@@ -488,7 +480,7 @@
             if (left <= 0) {
                 break;
             }
-            int n = Math.min(left, o.room().slots(s));
+            int n = Math.min(left, o.capacity().slots(s));
             cost += n * o.score();
             left -= n;
         }
@@ -496,32 +488,38 @@
     }
 
     private int fill(
-            Chunk chunk, List<TaskId> pending, int most, JobSpec s, List<Offer> offers, TaskZones zones, Round round) {
+            Chunk chunk,
+            List<TaskId> pending,
+            int most,
+            JobSpec s,
+            List<Offer> offers,
+            TaskZones zones,
+            PlanningRound round) {
         int placed = 0;
         for (TaskId task : pending) {
             if (placed >= most) {
                 break;
             }
             for (Offer o : offers) {
-                FreeCapacity room = o.room();
-                String zone = room.machine.zone();
-                if (!room.fits(s)
+                FreeCapacity capacity = o.capacity();
+                String zone = capacity.machine.zone();
+                if (!capacity.fits(s)
                         || !PlacementRules.zone(s, zone, zones).allowed()
-                        || room.machine.name().equals(chunk.lateOn(task.index()))
-                        || round.limits.avoided().test(new Placement(task, room.machine.name()))) {
+                        || capacity.machine.name().equals(chunk.lateOn(task.index()))
+                        || round.limits.avoided().test(new Placement(task, capacity.machine.name()))) {
                     continue;
                 }
-                room.take(s);
-                stale.add(room.machine.name());
+                capacity.take(s);
+                stale.add(capacity.machine.name());
                 if (PlacementRules.dependOnOthers(s)) {
                     zones.add(zone);
                 }
-                round.out.placements().add(new Placement(task, room.machine.name()));
+                round.out.placements().add(new Placement(task, capacity.machine.name()));
                 round.taken.get(s.id()).add(task);
                 placed++;
                 break;
             }
-            offers.removeIf(o -> !o.room().fits(s));
+            offers.removeIf(o -> !o.capacity().fits(s));
             if (offers.isEmpty()) {
                 break;
             }
@@ -529,129 +527,7 @@
         return placed;
     }
 
-    /** Whether a job of high priority is about to miss the start that its class aims at. */
-    private boolean pressing(Job job, Instant now) {
-        if (priority(job).compareTo(JobSpec.Priority.NORMAL) >= 0) {
-            return false;
-        }
-        Instant latest = order.latestStart(job, now);
-        return now.isAfter(latest.minus(PRESSING_BEFORE)) && now.isBefore(latest.plus(PRESSING_AFTER));
-    }
-
-    /** Claims on one machine that make room for a task, and what is lost with them. */
-    private record Victims(FreeCapacity room, List<Claim> claims, long loss) {}
-
-    /**
-     * Finds work of lower priority to stop: as little as possible of what has been done is lost, and only what can still
-     * be in time afterwards is taken. The order does not depend on who looks, and until the stop is confirmed the same
-     * claims are found again; so controllers and rounds do not stop more and more for the same need.
-     */
-    private void preempt(
-            JobSpec s, JobSpec.Priority priority, int tasks, TaskZones zones, String onlyZone, Round round) {
-        List<Victims> found = new ArrayList<>();
-        for (Stoppable r : round.stoppable.computeIfAbsent(priority, p -> stoppable(p, round))) {
-            MachineRecord m = r.room.machine;
-            boolean allowed = PlacementRules.task(s, r.room.type, m.zone(), m.spot(), zones)
-                    .allowed();
-            if (allowed && (onlyZone == null || onlyZone.equals(m.zone()))) {
-                Victims v = victims(r, s, round.now);
-                if (v != null) {
-                    found.add(v);
-                }
-            }
-        }
-        found.sort(Comparator.comparingLong(Victims::loss)
-                .thenComparing(v -> v.room().machine.name()));
-        int made = 0;
-        TaskZones withMade = zones.copy();
-        for (Victims v : found) {
-            if (made >= tasks) {
-                return;
-            }
-            String zone = v.room().machine.zone();
-            if (!PlacementRules.zone(s, zone, withMade).allowed()) {
-                continue;
-            }
-            for (Claim c : v.claims()) {
-                v.room().give(ledger.job(c.task().job()).spec());
-                v.room().claims.remove(c);
-                round.out.preempted().add(c);
-            }
-            stale.add(v.room().machine.name());
-            while (made < tasks
-                    && v.room().fits(s)
-                    && PlacementRules.zone(s, zone, withMade).allowed()) {
-                v.room().take(s);
-                withMade.add(zone);
-                made++;
-            }
-        }
-    }
-
-    /** A room and the claims in it that work of some priority may stop, the youngest first. */
-    private record Stoppable(FreeCapacity room, List<Claim> claims) {}
-
-    /** Looked for once a round: there may be dozens of jobs that press, and thousands of claims. */
-    private List<Stoppable> stoppable(JobSpec.Priority than, Round round) {
-        List<Stoppable> out = new ArrayList<>();
-        for (FreeCapacity room : rooms.values()) {
-            List<Claim> young = null;
-            for (Claim c : room.claims) {
-                if (spare(c, than, round.now)) {
-                    young = young == null ? new ArrayList<>(4) : young;
-                    young.add(c);
-                }
-            }
-            if (young != null && round.limits.usable().test(room.machine)) {
-                young.sort(Comparator.comparing(Claim::at).reversed().thenComparing(Claim::task));
-                out.add(new Stoppable(room, young));
-            }
-        }
-        return out;
-    }
-
-    private Victims victims(Stoppable in, JobSpec s, Instant now) {
-        List<Claim> victims = new ArrayList<>(4);
-        FreeCapacity room = in.room();
-        double cpus = room.cpus;
-        double cards = room.cards;
-        double mem = room.mem;
-        long loss = 0;
-        for (Claim c : in.claims()) {
-            if (s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6) {
-                break;
-            }
-            if (!room.claims.contains(c)) {
-                // Stopped already for a job before this one.
-                continue;
-            }
-            JobSpec v = ledger.job(c.task().job()).spec();
-            cpus += v.cpus();
-            cards += v.cards();
-            mem += v.memGb();
-            loss += (long) (v.cpus() * Duration.between(c.at(), now).toMillis());
-            victims.add(c);
-        }
-        boolean enough = s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6;
-        return enough && !victims.isEmpty() ? new Victims(room, victims, loss) : null;
-    }
-
-    private boolean spare(Claim c, JobSpec.Priority than, Instant now) {
-        if (c.at().plus(MOST_LOST).isBefore(now)) {
-            return false;
-        }
-        Job j = ledger.job(c.task().job());
-        if (j == null || j.cancelled() || priority(j).compareTo(than) <= 0) {
-            return false;
-        }
-        Instant due = due(j);
-        return due == null
-                || now.plus(AGAIN)
-                        .plusMillis((long) (JobOrder.runSeconds(j) * 1000))
-                        .isBefore(due);
-    }
-
-    /** The zone in which most tasks of a job that must stay together find room. */
+    /** The zone in which most tasks of a job that must stay together find capacity. */
     private static String bestZone(JobSpec s, List<FreeCapacity> open, int pending) {
         Map<String, Integer> fit = new HashMap<>();
         for (FreeCapacity r : open) {
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/PlanningRound.java
@@ -0,0 +1,55 @@
+package org.havenford.coordination;
+
+import java.time.Instant;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.Quota.Amount;
+import org.havenford.protocol.JobSpec;
+import org.havenford.protocol.TaskId;
+
+/**
+ * What one round of the planner has decided so far, and what it decides on. Everything that a pass counts stands here, so
+ * that the next pass counts on from there.
+ */
+final class PlanningRound {
+    /** For jobs to which it does not matter where their other tasks are; never added to. */
+    private static final TaskZones ANYWHERE = new TaskZones();
+
+    final Instant now;
+    final Planner.Limits limits;
+    final List<FreeCapacity> open;
+    final Planner.Plan out;
+    final Map<String, Amount> used = new HashMap<>();
+    final Map<String, String> ownerOf = new HashMap<>();
+    final Map<String, Set<TaskId>> taken = new HashMap<>();
+    /** Of jobs that stay together or apart: their claims, and what any pass of this round has placed. */
+    final Map<String, TaskZones> zones = new HashMap<>();
+
+    final Map<JobSpec.Priority, List<Preemption.Stoppable>> stoppable = new EnumMap<>(JobSpec.Priority.class);
+
+    PlanningRound(Instant now, Planner.Limits limits, List<FreeCapacity> open, Planner.Plan out) {
+        this.now = now;
+        this.limits = limits;
+        this.open = open;
+        this.out = out;
+    }
+
+    /**
+     * Where a job's tasks are. A job may be placed in several passes of a round, all of which go into one claim: counted
+     * from the claims alone, a later pass would place what the passes together must not. apart-in-one-round.trace
+     */
+    TaskZones zonesOf(Job job, Ledger ledger) {
+        return PlacementRules.dependOnOthers(job.spec())
+                ? zones.computeIfAbsent(job.id(), id -> TaskZones.ofClaims(job, ledger))
+                : ANYWHERE;
+    }
+
+    int placed(Job job) {
+        return taken.getOrDefault(job.id(), Set.of()).size();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/Preemption.java
@@ -0,0 +1,161 @@
+package org.havenford.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Consumer;
+import org.havenford.bookkeeping.Claim;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.protocol.JobSpec;
+
+/** Chooses claims to give up so that more urgent work can start. */
+final class Preemption {
+    /** A job presses from so long before its latest start. */
+    static final Duration PRESSING_BEFORE = Duration.ofSeconds(7);
+    /** After so long it is too late to stop others for it. */
+    private static final Duration PRESSING_AFTER = Duration.ofSeconds(20);
+    /** Work of more than this is not stopped for other work. */
+    private static final Duration MOST_LOST = Duration.ofSeconds(20);
+    /** Time that a stopped task is taken to need until it starts again. */
+    private static final Duration AGAIN = Duration.ofSeconds(25);
+
+    private final Ledger ledger;
+    private final JobOrder order;
+    private final Collection<FreeCapacity> capacities;
+    private final Consumer<String> changed;
+
+    /** {@code changed} is told of machines whose capacity has to be worked out anew. */
+    Preemption(Ledger ledger, JobOrder order, Collection<FreeCapacity> capacities, Consumer<String> changed) {
+        this.ledger = ledger;
+        this.order = order;
+        this.capacities = capacities;
+        this.changed = changed;
+    }
+
+    /** Whether a job of high priority is about to miss the start that its class aims at. */
+    boolean isPressing(Job job, Instant now) {
+        if (order.priority(job).compareTo(JobSpec.Priority.NORMAL) >= 0) {
+            return false;
+        }
+        Instant latest = order.latestStart(job, now);
+        return now.isAfter(latest.minus(PRESSING_BEFORE)) && now.isBefore(latest.plus(PRESSING_AFTER));
+    }
+
+    /** Claims on one machine that make capacity for a task, and what is lost with them. */
+    private record Victims(FreeCapacity capacity, List<Claim> claims, long loss) {}
+
+    /**
+     * Finds work of lower priority to stop: as little as possible of what has been done is lost, and only what can still
+     * be in time afterwards is taken. The order does not depend on who looks, and until the stop is confirmed the same
+     * claims are found again; so controllers and rounds do not stop more and more for the same need.
+     */
+    void preempt(
+            JobSpec s, JobSpec.Priority priority, int tasks, TaskZones zones, String onlyZone, PlanningRound round) {
+        List<Victims> found = new ArrayList<>();
+        for (Stoppable r : round.stoppable.computeIfAbsent(priority, p -> stoppable(p, round))) {
+            MachineRecord m = r.capacity.machine;
+            boolean allowed = PlacementRules.task(s, r.capacity.type, m.zone(), m.spot(), zones)
+                    .allowed();
+            if (allowed && (onlyZone == null || onlyZone.equals(m.zone()))) {
+                Victims v = victims(r, s, round.now);
+                if (v != null) {
+                    found.add(v);
+                }
+            }
+        }
+        found.sort(Comparator.comparingLong(Victims::loss)
+                .thenComparing(v -> v.capacity().machine.name()));
+        int made = 0;
+        TaskZones withMade = zones.copy();
+        for (Victims v : found) {
+            if (made >= tasks) {
+                return;
+            }
+            String zone = v.capacity().machine.zone();
+            if (!PlacementRules.zone(s, zone, withMade).allowed()) {
+                continue;
+            }
+            for (Claim c : v.claims()) {
+                v.capacity().give(ledger.job(c.task().job()).spec());
+                v.capacity().claims.remove(c);
+                round.out.preempted().add(c);
+            }
+            changed.accept(v.capacity().machine.name());
+            while (made < tasks
+                    && v.capacity().fits(s)
+                    && PlacementRules.zone(s, zone, withMade).allowed()) {
+                v.capacity().take(s);
+                withMade.add(zone);
+                made++;
+            }
+        }
+    }
+
+    /** A machine and the claims on it that work of some priority may stop, the youngest first. */
+    record Stoppable(FreeCapacity capacity, List<Claim> claims) {}
+
+    /** Looked for once a round: there may be dozens of jobs that press, and thousands of claims. */
+    private List<Stoppable> stoppable(JobSpec.Priority than, PlanningRound round) {
+        List<Stoppable> out = new ArrayList<>();
+        for (FreeCapacity capacity : capacities) {
+            List<Claim> young = null;
+            for (Claim c : capacity.claims) {
+                if (spare(c, than, round.now)) {
+                    young = young == null ? new ArrayList<>(4) : young;
+                    young.add(c);
+                }
+            }
+            if (young != null && round.limits.usable().test(capacity.machine)) {
+                young.sort(Comparator.comparing(Claim::at).reversed().thenComparing(Claim::task));
+                out.add(new Stoppable(capacity, young));
+            }
+        }
+        return out;
+    }
+
+    private Victims victims(Stoppable in, JobSpec s, Instant now) {
+        List<Claim> victims = new ArrayList<>(4);
+        FreeCapacity capacity = in.capacity();
+        double cpus = capacity.cpus;
+        double cards = capacity.cards;
+        double mem = capacity.mem;
+        long loss = 0;
+        for (Claim c : in.claims()) {
+            if (s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6) {
+                break;
+            }
+            if (!capacity.claims.contains(c)) {
+                // Stopped already for a job before this one.
+                continue;
+            }
+            JobSpec v = ledger.job(c.task().job()).spec();
+            cpus += v.cpus();
+            cards += v.cards();
+            mem += v.memGb();
+            loss += (long) (v.cpus() * Duration.between(c.at(), now).toMillis());
+            victims.add(c);
+        }
+        boolean enough = s.cpus() <= cpus + 1e-6 && s.cards() <= cards + 1e-6 && s.memGb() <= mem + 1e-6;
+        return enough && !victims.isEmpty() ? new Victims(capacity, victims, loss) : null;
+    }
+
+    private boolean spare(Claim c, JobSpec.Priority than, Instant now) {
+        if (c.at().plus(MOST_LOST).isBefore(now)) {
+            return false;
+        }
+        Job j = ledger.job(c.task().job());
+        if (j == null || j.cancelled() || order.priority(j).compareTo(than) <= 0) {
+            return false;
+        }
+        Instant due = order.due(j);
+        return due == null
+                || now.plus(AGAIN)
+                        .plusMillis((long) (JobOrder.runSeconds(j) * 1000))
+                        .isBefore(due);
+    }
+}
