--- a/src/test/java/org/havenford/world/DrawnDays.java
+++ b/src/test/java/org/havenford/world/DrawnDays.java
@@ -171,6 +171,11 @@
             }
         }
         faults(r, nodes, machines, jobs, 10, out);
+        lateMessages(r, nodes, machines, 5, out);
+        if (r.nextInt(3) == 0) {
+            // A controller that was away for a while has to read all keys again.
+            out.add("keep-changes " + (20 + r.nextInt(80)));
+        }
         expectNothingOfCalledOff(out, awaits);
         out.add("until 600");
         out.add("expect served");
@@ -329,6 +334,33 @@
         }
     }
 
+    /** Draws commands, changes and answers that come late or not at all. */
+    private static void lateMessages(SplittableRandom r, int nodes, int machines, int count, List<String> out) {
+        int at = 10;
+        for (int i = 0; i < count; i++) {
+            at += 2 + r.nextInt(24);
+            String node = "node-" + r.nextInt(nodes);
+            String host = host(r.nextInt(machines));
+            int length = 5 + r.nextInt(30);
+            double late = (1 + r.nextInt(160)) / 10.0;
+            switch (r.nextInt(4)) {
+                case 0 -> {
+                    out.add("at " + at + " late-commands " + host + " " + late);
+                    out.add("at " + (at + length) + " late-commands " + host + " 0");
+                }
+                case 1 -> {
+                    out.add("at " + at + " late-changes " + node + " " + late);
+                    out.add("at " + (at + length) + " late-changes " + node + " 0");
+                }
+                case 2 -> out.add("at " + at + " lost-answers " + (1 + r.nextInt(5)));
+                default -> {
+                    out.add("at " + at + " repeats " + node + " " + late);
+                    out.add("at " + (at + length) + " no-repeats " + node);
+                }
+            }
+        }
+    }
+
     /** What is expected to be done, less what may have been cancelled. */
     private static void expectNothingOfCalledOff(List<String> out, Map<String, List<String>> awaits) {
         // A job that is called off at a drawn moment may be over or not; what needs it shares its fate.
--- a/src/test/java/org/havenford/world/InterfaceTest.java
+++ b/src/test/java/org/havenford/world/InterfaceTest.java
@@ -58,6 +58,37 @@
         assertEquals(400, ask("POST", "/checkin", "{\"box\":7}").status());
     }
 
+    /** A submission of one task with a field set to the given JSON. */
+    private static String with(String id, String field, String value) {
+        String job = job(id, "red", 1, 1).replaceFirst("\"" + field + "\":[^,}]*,", "");
+        return job.replaceFirst("}$", ",\"" + field + "\":" + value + "}");
+    }
+
+    private int submit(String body) {
+        return ask("POST", "/submissions", body).status();
+    }
+
+    @Test
+    void whereASubmissionMayRun() {
+        start();
+        assertEquals(422, submit(with("j-1", "rigs", "[]")), "no type is allowed");
+        assertEquals(422, submit(with("j-1", "rigs", "[\"none\"]")));
+        assertEquals(400, submit(with("j-1", "rigs", "\"small\"")));
+        assertEquals(400, submit(with("j-1", "rigs", "[7]")));
+        assertEquals(422, submit(with("j-1", "hall", "\"nowhere\"")));
+        assertEquals(400, submit(with("j-1", "hall", "7")));
+        assertEquals(400, submit(with("j-1", "together", "null")), "it is missing");
+        assertEquals(400, submit(with("j-1", "apart", "\"yes\"")));
+        assertEquals(404, ask("GET", "/submissions/j-1", null).status());
+        assertEquals(201, submit(with("j-1", "rigs", "[\"small\",\"none\"]")));
+        assertEquals(200, submit(with("j-1", "hall", "\"nowhere\"")), "known already, whatever is sent now");
+        String stored = world.store.value("live/job/j-1").toString();
+        assertTrue(stored.contains("\"rigs\":[\"small\"]"), stored);
+        assertTrue(!stored.contains("nowhere"), stored);
+        assertEquals(201, submit(with("j-2", "rigs", "null")), "any type");
+        assertEquals(201, submit(with("j-3", "hall", "null")), "any zone");
+    }
+
     private static String awaiting(String id, String awaits) {
         return job(id, "red", 1, 1).replaceFirst("}$", ",\"awaits\":" + awaits + "}");
     }
--- a/src/test/java/org/havenford/world/Store.java
+++ b/src/test/java/org/havenford/world/Store.java
@@ -32,6 +32,10 @@
     private final World world;
     final TreeMap<String, Value> values = new TreeMap<>();
     private final List<Change> changes = new ArrayList<>();
+    /** How many changes the service keeps: a watch that begins before them is answered 410. */
+    int keptChanges = 10_000;
+
+    private long forgottenUpTo;
     private final Map<Long, Lease> leases = new HashMap<>();
     private final List<Watcher> watchers = new ArrayList<>();
     private long edition = 1;
@@ -68,6 +72,8 @@
     boolean refusesTooLarge;
 
     int tooLarge;
+    /** Watches that were answered 410. */
+    int tooOld;
 
     void lower() {
         valueBytes = world.template.valueBytes();
@@ -346,6 +352,14 @@
         if (outage) {
             return false;
         }
+        while (changes.size() > keptChanges) {
+            forgottenUpTo = changes.remove(0).stamp;
+        }
+        if (w.since < forgottenUpTo) {
+            tooOld++;
+            w.answer.accept(new Reply(410, "{\"error\":\"too old\"}"));
+            return true;
+        }
         JsonArray log = new JsonArray();
         int from = changes.size();
         while (from > 0 && changes.get(from - 1).stamp > w.since) {
--- a/src/test/java/org/havenford/world/Trace.java
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -59,6 +59,7 @@
         int nodes = 3;
         boolean old = false;
         String state = STATE;
+        int keptChanges = 10_000;
         for (String raw : lines) {
             String line = raw.replaceFirst("#.*", "").strip();
             if (line.isEmpty()) {
@@ -72,6 +73,7 @@
                             ",\"next\":{\"value_kb\":" + w[1] + ",\"txn_ops\":" + w[2] + ",\"write_rps\":" + w[3]
                                     + "}}");
                 case "version" -> old = w[1].equals("format-1");
+                case "keep-changes" -> keptChanges = Integer.parseInt(w[1]);
                 case "nodes" -> nodes = Integer.parseInt(w[1]);
                 case "seed" -> seed = Long.parseLong(w[1]);
                 case "team" -> teams.add("{\"name\":\"" + w[1] + "\",\"cpus\":" + w[2] + ",\"cpus_max\":" + w[3] + "}");
@@ -84,6 +86,7 @@
         String teamText = String.join(",", teams);
         World world = new World(seed, settings(0, nodes, teamText, WORKERS, state));
         out[0] = world;
+        world.store.keptChanges = keptChanges;
         for (int i = 0; i < nodes; i++) {
             Settings before = old ? settings(i, nodes, teamText, WORKERS, STATE) : null;
             world.addNode(settings(i, nodes, teamText, WORKERS, state), before);
@@ -143,6 +146,7 @@
                                     .firstRented
                                     .getOrDefault(e[2], Instant.MAX)
                                     .isBefore(Instant.EPOCH.plusSeconds(Long.parseLong(e[3])));
+                        case "read-again" -> world.store.tooOld >= Integer.parseInt(e[2]);
                         case "too-large" -> world.store.tooLarge <= Integer.parseInt(e[2]);
                         case "resting" ->
                             world.store
