--- a/src/test/java/org/havenford/coordination/PipelineDecisionsTest.java
+++ b/src/test/java/org/havenford/coordination/PipelineDecisionsTest.java
@@ -31,24 +31,10 @@
     /** A stored header; {@code readyAgo} is negative for a job that was not released. */
     private JsonObject header(
             String id, String team, String urgency, long submittedAgo, List<String> awaits, long readyAgo) {
-        JsonObject o = new JsonObject();
-        o.addProperty("nameId", id);
-        o.addProperty("lineup", "class");
+        JsonObject o = JobSamples.submission(id, 1, 8);
         o.addProperty("crew", team);
-        o.addProperty("shape", "batch");
         o.addProperty("urgency", urgency);
-        o.addProperty("shots", 1);
-        o.addProperty("vcpus", 8.0);
-        o.addProperty("cards", 0.0);
-        o.addProperty("memGb", 1.0);
-        o.addProperty("together", false);
-        o.addProperty("apart", false);
-        o.addProperty("borrowed", true);
-        o.addProperty("reel", "img");
-        o.addProperty("imageGb", 1.0);
         o.addProperty("guessS", 10.0);
-        o.addProperty("keyframeS", 0.0);
-        o.addProperty("flushS", 0.0);
         JsonArray names = new JsonArray();
         awaits.forEach(names::add);
         o.add("awaits", names);
--- a/src/test/java/org/havenford/coordination/PlacementRulesTest.java
+++ b/src/test/java/org/havenford/coordination/PlacementRulesTest.java
@@ -23,24 +23,10 @@
 
     /** A job of two CPUs a task; {@code constraints} are fields of its submission. */
     private static JobSpec spec(int tasks, Map<String, Object> constraints) throws Exception {
-        JsonObject o = new JsonObject();
-        o.addProperty("nameId", "j-1");
-        o.addProperty("lineup", "class");
-        o.addProperty("crew", "red");
-        o.addProperty("shape", "batch");
-        o.addProperty("urgency", "normal");
-        o.addProperty("shots", tasks);
-        o.addProperty("vcpus", 2.0);
-        o.addProperty("cards", 0.0);
-        o.addProperty("memGb", 1.0);
+        JsonObject o = JobSamples.submission("j-1", tasks, 2);
         o.addProperty("together", constraints.containsKey("together"));
         o.addProperty("apart", constraints.containsKey("apart"));
         o.addProperty("borrowed", !constraints.containsKey("ordinary"));
-        o.addProperty("reel", "img");
-        o.addProperty("imageGb", 1.0);
-        o.addProperty("guessS", 20.0);
-        o.addProperty("keyframeS", 0.0);
-        o.addProperty("flushS", 0.0);
         if (constraints.containsKey("zone")) {
             o.addProperty("hall", (String) constraints.get("zone"));
         }
--- a/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
+++ b/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
@@ -49,27 +49,10 @@
     private int machines;
 
     PlannerPlacementTest() {
-        ledger.observer(new Quiet());
+        ledger.observer(new QuietObserver());
         ledger.changed(Keys.TYPES, JsonParser.parseString(TYPES), ++stamp);
     }
 
-    private static final class Quiet implements Ledger.Observer {
-        @Override
-        public void viewChanged(JsonObject view, long stamp) {}
-
-        @Override
-        public void memberChanged(String node, JsonObject member, long stamp) {}
-
-        @Override
-        public void machineChanged(String machine) {}
-
-        @Override
-        public void settled() {}
-
-        @Override
-        public void loaded() {}
-    }
-
     private String machine(String type, String zone, boolean spot, String... cached) {
         String name = String.format("host-%06d", machines++);
         MachineBatch batch = MachineBatch.of("b-" + name, type, zone, spot, NOW.minusSeconds(300), List.of(name));
@@ -79,24 +62,7 @@
     }
 
     private static JsonObject job(String id, int tasks, double cpus) {
-        JsonObject o = new JsonObject();
-        o.addProperty("nameId", id);
-        o.addProperty("lineup", "class");
-        o.addProperty("crew", "red");
-        o.addProperty("shape", "batch");
-        o.addProperty("urgency", "normal");
-        o.addProperty("shots", tasks);
-        o.addProperty("vcpus", cpus);
-        o.addProperty("cards", 0.0);
-        o.addProperty("memGb", 1.0);
-        o.addProperty("together", false);
-        o.addProperty("apart", false);
-        o.addProperty("borrowed", true);
-        o.addProperty("reel", "img");
-        o.addProperty("imageGb", 1.0);
-        o.addProperty("guessS", 20.0);
-        o.addProperty("keyframeS", 0.0);
-        o.addProperty("flushS", 0.0);
+        JsonObject o = JobSamples.submission(id, tasks, cpus);
         o.addProperty("_at", NOW.minusSeconds(1).toEpochMilli());
         o.addProperty("_chunk", CHUNK);
         return o;
