--- /dev/null
+++ b/src/main/java/org/havenford/coordination/BatchChange.java
@@ -0,0 +1,85 @@
+package org.havenford.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.MachineBatch;
+import org.havenford.bookkeeping.Replica;
+import org.havenford.bookkeeping.StateStore;
+
+/** Changes of the batches that machines are in, gathered into one transaction. */
+final class BatchChange {
+    private final Ledger ledger;
+    private final int maxBatches;
+    private final Predicate<String> isBusy;
+    private final TreeMap<String, MachineBatch> next = new TreeMap<>();
+    private final List<String> machines = new ArrayList<>();
+
+    /** {@code isBusy} tells of batches that are being written. */
+    BatchChange(Ledger ledger, int maxBatches, Predicate<String> isBusy) {
+        this.ledger = ledger;
+        this.maxBatches = maxBatches;
+        this.isBusy = isBusy;
+    }
+
+    /** Whether there is room for the machine's batches, and none of them is being written. */
+    private boolean takes(String machine) {
+        Set<String> batches = ledger.batchesOf(machine);
+        long more = batches.stream().filter(b -> !next.containsKey(b)).count();
+        return !batches.isEmpty() && batches.stream().noneMatch(isBusy) && next.size() + more <= maxBatches;
+    }
+
+    /** Changes the service that a machine is in; whether the transaction had room for it. */
+    boolean mark(String machine, MachineBatch.Service service) {
+        if (!takes(machine)) {
+            return false;
+        }
+        for (String name : ledger.batchesOf(machine)) {
+            next.put(name, next.getOrDefault(name, ledger.batch(name)).with(machine, service));
+        }
+        machines.add(machine);
+        return true;
+    }
+
+    /** Takes a machine off the record, if the transaction has room for it. */
+    void drop(String machine) {
+        if (takes(machine)) {
+            for (String name : ledger.batchesOf(machine)) {
+                next.put(name, next.getOrDefault(name, ledger.batch(name)).without(List.of(machine)));
+            }
+        }
+    }
+
+    boolean isEmpty() {
+        return next.isEmpty();
+    }
+
+    /** Batches that are changed. */
+    Set<String> batches() {
+        return next.keySet();
+    }
+
+    /** Machines whose service is changed. */
+    List<String> machines() {
+        return machines;
+    }
+
+    /** The transaction, guarded by the stamps of the batches that were changed. */
+    StateStore.Txn transaction(Replica replica) {
+        StateStore.Txn txn = new StateStore.Txn();
+        next.forEach((name, batch) -> {
+            String key = Keys.batch(name);
+            txn.guard(key, replica.stamp(key));
+            if (batch.machines().isEmpty()) {
+                txn.delete(key);
+            } else {
+                txn.set(key, batch.toJson());
+            }
+        });
+        return txn;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/CloudCalls.java
@@ -0,0 +1,37 @@
+package org.havenford.coordination;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.havenford.bookkeeping.TokenBucket;
+import org.havenford.protocol.Settings;
+import org.havenford.transport.EventLoop;
+import org.havenford.transport.HttpCalls;
+
+/** Calls to the cloud's API, kept below its limit of calls a second. */
+final class CloudCalls {
+    private static final Duration TIMEOUT = Duration.ofSeconds(4);
+    /** Part of the limit that is used: the cloud counts in its own time. */
+    private static final double SAFETY = 0.8;
+
+    private final EventLoop loop;
+    private final HttpCalls calls;
+    private final String address;
+    private final TokenBucket budget;
+
+    CloudCalls(EventLoop loop, HttpCalls calls, Settings settings) {
+        this.loop = loop;
+        this.calls = calls;
+        this.address = settings.cloudAddress();
+        this.budget = new TokenBucket(settings.cloudRps() * SAFETY, 1, loop.now());
+    }
+
+    /** Sends a request if the limit allows one now; whether it was sent. */
+    boolean call(String method, String path, String body, Consumer<HttpCalls.Reply> done) {
+        if (!budget.has(1, loop.now())) {
+            return false;
+        }
+        budget.take(1);
+        calls.call(address, method, path, body, TIMEOUT, done);
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/CloudInventory.java
@@ -0,0 +1,211 @@
+package org.havenford.coordination;
+
+import com.google.gson.JsonObject;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.MachineBatch;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.coordination.Demand.Kind;
+import org.havenford.coordination.Demand.Offer;
+import org.havenford.protocol.CloudMessages;
+import org.havenford.protocol.CloudMessages.Listed;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.MachineType;
+import org.havenford.transport.HttpCalls;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the cloud says: the machine types that it offers, and the list of machines that it rents to us. The list lags, so it
+ * never proves that a machine is gone.
+ */
+final class CloudInventory {
+    private static final Logger LOG = LoggerFactory.getLogger(CloudInventory.class);
+    private static final Duration TYPES_EVERY = Duration.ofSeconds(45);
+    private static final Duration TYPES_RETRY = Duration.ofSeconds(1);
+    private static final Duration TYPES_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration LIST_EVERY = Duration.ofSeconds(3);
+    private static final int PAGE = 500;
+    /** A listed machine without a record is adopted once it is older than the answer to any rental may be late. */
+    private static final Duration ADOPTED_FROM = Duration.ofSeconds(10);
+    /** How long what was seen of a machine in the list is remembered. */
+    private static final Duration REMEMBERED = Duration.ofSeconds(600);
+
+    private final ProvisioningContext context;
+    private final Map<String, Instant> lastListed = new HashMap<>();
+    /** Machines whose return the cloud has confirmed, and when. */
+    private final Map<String, Instant> returned = new HashMap<>();
+
+    private final Set<String> failed = new HashSet<>();
+    private Instant nextTypes = Instant.MIN;
+    private Instant nextList = Instant.MIN;
+    private Instant lastFullList = Instant.MIN;
+    private boolean listing;
+    private String storedTypes = "";
+
+    CloudInventory(ProvisioningContext context) {
+        this.context = context;
+    }
+
+    /** Forgets what was listed before this controller became the provisioner. */
+    void reset() {
+        lastListed.clear();
+        lastFullList = Instant.MIN;
+    }
+
+    /** Asks for the types and for the list when they are due. */
+    void step(Instant now) {
+        askTypes(now);
+        askList(now);
+    }
+
+    /** Whether the cloud lists a machine as failed. */
+    boolean failed(String machine) {
+        return failed.contains(machine);
+    }
+
+    /** The cloud has confirmed that machines were returned. */
+    void returned(List<String> machines) {
+        machines.forEach(machine -> returned.put(machine, context.loop().now()));
+    }
+
+    /**
+     * Whether a machine that has been silent since a moment is no longer listed. Once listed, a machine stays listed until it
+     * is gone. The list may lag by twice its usual lag, and it is no proof: the return that follows is.
+     */
+    boolean noLongerListed(String machine, Instant silentFrom) {
+        Instant seen = lastListed.get(machine);
+        Instant settled = silentFrom.plus(context.settings().listLag().multipliedBy(2));
+        return seen != null && seen.isBefore(settled) && lastFullList.isAfter(settled) && !lastFullList.equals(seen);
+    }
+
+    private void askTypes(Instant now) {
+        if (now.isBefore(nextTypes)) {
+            return;
+        }
+        if (context.cloud().call("GET", "/machine_types", null, this::typesAnswered)) {
+            nextTypes = now.plus(TYPES_TIMEOUT);
+        }
+    }
+
+    private void typesAnswered(HttpCalls.Reply reply) {
+        boolean unknown = context.ledger().types().isEmpty();
+        nextTypes = context.loop().now().plus(unknown ? TYPES_RETRY : TYPES_EVERY);
+        if (!reply.ok()) {
+            return;
+        }
+        try {
+            JsonObject value = MachineType.toJson(MachineType.parseAll(Json.object(reply.body())));
+            String text = value.toString();
+            if (!text.equals(storedTypes)) {
+                context.write(new StateStore.Txn().set(Keys.TYPES, value), ok -> {
+                    // Written under a view that has just changed, they are not there: then they come again.
+                    storedTypes = ok ? text : storedTypes;
+                    nextTypes = ok ? nextTypes : Instant.MIN;
+                });
+            }
+        } catch (Json.BadMessage e) {
+            LOG.warn("cloud: the machine types can't be read: {}", e.getMessage());
+        }
+    }
+
+    private void askList(Instant now) {
+        if (listing || now.isBefore(nextList)) {
+            return;
+        }
+        listing = true;
+        nextList = now.plus(LIST_EVERY);
+        askPage(now, "", new HashMap<>());
+    }
+
+    private void askPage(Instant asked, String after, Map<String, Listed> all) {
+        String path = "/machines?limit=" + PAGE + (after.isEmpty() ? "" : "&since=" + after);
+        if (!context.cloud().call("GET", path, null, reply -> pageAnswered(asked, after, all, reply))) {
+            listing = false;
+        }
+    }
+
+    private void pageAnswered(Instant asked, String after, Map<String, Listed> all, HttpCalls.Reply reply) {
+        if (!reply.ok()) {
+            listing = false;
+            return;
+        }
+        try {
+            CloudMessages.Page page = CloudMessages.page(reply.body());
+            String last = after;
+            for (Listed machine : page.machines()) {
+                all.put(machine.machine(), machine);
+                last = machine.machine();
+            }
+            if (page.more() && !last.equals(after)) {
+                askPage(asked, last, all);
+            } else {
+                listing = false;
+                listed(asked, all);
+            }
+        } catch (Json.BadMessage e) {
+            listing = false;
+            LOG.warn("cloud: the machine list can't be read: {}", e.getMessage());
+        }
+    }
+
+    private void listed(Instant asked, Map<String, Listed> all) {
+        lastFullList = asked;
+        failed.clear();
+        for (Listed machine : all.values()) {
+            lastListed.put(machine.machine(), asked);
+            if (machine.status() == CloudMessages.Status.FAILED) {
+                failed.add(machine.machine());
+            }
+        }
+        adopt(all);
+        Instant forgotten = asked.minus(REMEMBERED);
+        lastListed.values().removeIf(at -> at.isBefore(forgotten));
+        returned.values().removeIf(at -> at.isBefore(forgotten));
+    }
+
+    /** Machines that nobody has a record of: of a rental that was carried out late, or whose answer was lost. */
+    private void adopt(Map<String, Listed> all) {
+        if (!context.ledger().bookings().isEmpty()) {
+            return;
+        }
+        Map<Offer, List<Listed>> unknown = new LinkedHashMap<>();
+        for (Listed machine : all.values()) {
+            boolean known = context.ledger().machine(machine.machine()) != null
+                    || returned.containsKey(machine.machine())
+                    || machine.age().compareTo(ADOPTED_FROM) <= 0;
+            if (!known) {
+                LOG.info("adopting {}, which the cloud lists and is in no record", machine.machine());
+                Offer offer = new Offer(new Kind(machine.type(), machine.spot()), machine.zone());
+                unknown.computeIfAbsent(offer, k -> new ArrayList<>()).add(machine);
+            }
+        }
+        StateStore.Txn txn = new StateStore.Txn();
+        unknown.forEach((offer, machines) -> {
+            if (txn.writes() < context.settings().txnOps()) {
+                adopt(offer, machines, txn);
+            }
+        });
+        if (txn.writes() > 0) {
+            context.write(txn, ok -> {});
+        }
+    }
+
+    private void adopt(Offer offer, List<Listed> machines, StateStore.Txn txn) {
+        String name = context.uniqueName("l");
+        Instant since = context.loop().timeOfDay().minus(machines.get(0).age());
+        List<String> names =
+                machines.stream().limit(MachineBatch.MOST).map(Listed::machine).toList();
+        MachineBatch batch = MachineBatch.of(
+                name, offer.kind().type(), offer.zone(), offer.kind().spot(), since, names);
+        txn.guard(Keys.batch(name), 0).set(Keys.batch(name), batch.toJson());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/Rentals.java
@@ -0,0 +1,235 @@
+package org.havenford.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Ledger.Booking;
+import org.havenford.bookkeeping.MachineBatch;
+import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.bookkeeping.MachineRecord.Condition;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.coordination.Demand.Kind;
+import org.havenford.coordination.Demand.Offer;
+import org.havenford.protocol.CloudMessages;
+import org.havenford.protocol.Json;
+import org.havenford.transport.HttpCalls;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Rents machines. The intent is stored before the cloud is asked, under a name that the cloud takes once: so a successor
+ * asks again without renting twice.
+ */
+final class Rentals {
+    private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
+    /** The cloud's limit of machines in one call. */
+    private static final int MOST_RENTED = 50;
+
+    private static final int MOST_BOOKINGS = 3;
+    private static final Duration RETRY = Duration.ofSeconds(1);
+
+    private final ProvisioningContext context;
+    private final RentalRefusals refusals;
+    /** Bookings that the cloud has been asked for, or whose outcome is being written. */
+    private final Set<String> inFlight = new HashSet<>();
+
+    private boolean writing;
+
+    Rentals(ProvisioningContext context, RentalRefusals refusals) {
+        this.context = context;
+        this.refusals = refusals;
+    }
+
+    /** Begins afresh: this controller has become the provisioner. */
+    void reset() {
+        inFlight.clear();
+        writing = false;
+    }
+
+    // ---- intents
+
+    /** Stores intents for what is missing. {@code bound} is what must be in a certain zone. */
+    void rent(Instant now, Map<Kind, Integer> wanted, Map<Kind, Integer> have, Object2DoubleOpenHashMap<Offer> bound) {
+        StateStore.Txn txn = new StateStore.Txn();
+        Map<Kind, Integer> missing = new HashMap<>();
+        wanted.forEach((kind, number) -> missing.put(kind, number - have.getOrDefault(kind, 0)));
+        bookForZones(bound, missing, txn);
+        List<Kind> kinds = new ArrayList<>(wanted.keySet());
+        kinds.sort(Comparator.comparing(Kind::spot).reversed().thenComparing(Kind::type));
+        for (Kind kind : kinds) {
+            bookAnywhere(kind, missing.get(kind), now, txn);
+        }
+        if (txn.writes() > 0 && !writing) {
+            writing = true;
+            context.write(txn, ok -> writing = false);
+        }
+    }
+
+    /** First what can't be met elsewhere. */
+    private void bookForZones(Object2DoubleOpenHashMap<Offer> bound, Map<Kind, Integer> missing, StateStore.Txn txn) {
+        if (bound.isEmpty()) {
+            return;
+        }
+        Map<Offer, Integer> there = byOffer();
+        List<Offer> offers = new ArrayList<>(bound.keySet());
+        offers.sort(Comparator.comparing(Offer::zone)
+                .thenComparing(offer -> offer.kind().type())
+                .thenComparing(offer -> offer.kind().spot()));
+        for (Offer offer : offers) {
+            int lacking = FleetTarget.wholeMachines(bound.getDouble(offer)) - there.getOrDefault(offer, 0);
+            if (lacking > 0 && mayBook(txn)) {
+                int count = Math.min(MOST_RENTED, lacking);
+                book(offer, count, txn);
+                missing.merge(offer.kind(), -count, Integer::sum);
+            }
+        }
+    }
+
+    /** Machines there are or were asked for, by kind and zone. */
+    private Map<Offer, Integer> byOffer() {
+        Map<Offer, Integer> there = new HashMap<>();
+        for (MachineRecord machine : context.ledger().machines()) {
+            boolean stays = machine.condition() == Condition.UP || machine.condition() == Condition.BOOTING;
+            if (stays) {
+                there.merge(offerOf(machine), 1, Integer::sum);
+            }
+        }
+        for (Booking booking : context.ledger().bookings()) {
+            there.merge(offerOf(booking), booking.count(), Integer::sum);
+        }
+        return there;
+    }
+
+    private static Offer offerOf(MachineRecord machine) {
+        return new Offer(new Kind(machine.type(), machine.spot()), machine.zone());
+    }
+
+    private static Offer offerOf(Booking booking) {
+        return new Offer(new Kind(booking.type(), booking.spot()), booking.zone());
+    }
+
+    /** In the zones that have the fewest machines; a need that is large is spread over the zones. */
+    private void bookAnywhere(Kind kind, int number, Instant now, StateStore.Txn txn) {
+        int missing = number;
+        if (missing <= 0) {
+            return;
+        }
+        List<String> zones = zonesByMachines(kind, now);
+        for (int i = 0; i < zones.size() && missing > 0 && mayBook(txn); i++) {
+            int zonesLeft = zones.size() - i;
+            int even = (missing + zonesLeft - 1) / zonesLeft;
+            int count = Math.min(MOST_RENTED, missing <= MOST_RENTED / 2 ? missing : even);
+            book(new Offer(kind, zones.get(i)), count, txn);
+            missing -= count;
+        }
+    }
+
+    private List<String> zonesByMachines(Kind kind, Instant now) {
+        Map<String, Integer> inZone = new HashMap<>();
+        for (MachineRecord machine : context.ledger().machines()) {
+            if (machine.type().equals(kind.type())) {
+                inZone.merge(machine.zone(), 1, Integer::sum);
+            }
+        }
+        List<String> zones =
+                new ArrayList<>(context.ledger().types().get(kind.type()).zones());
+        zones.removeIf(zone -> refusals.lately(new Offer(kind, zone), now));
+        zones.sort(Comparator.comparingInt((String zone) -> inZone.getOrDefault(zone, 0))
+                .thenComparing(zone -> zone));
+        return zones;
+    }
+
+    private boolean mayBook(StateStore.Txn txn) {
+        return context.ledger().bookings().size() + txn.writes() < MOST_BOOKINGS;
+    }
+
+    private void book(Offer offer, int count, StateStore.Txn txn) {
+        String name = context.uniqueName("r");
+        Booking booking = new Booking(
+                name,
+                offer.kind().type(),
+                offer.zone(),
+                offer.kind().spot(),
+                count,
+                context.loop().timeOfDay());
+        txn.guard(Keys.booking(name), 0).set(Keys.booking(name), booking.toJson());
+    }
+
+    // ---- rentals
+
+    /** Asks the cloud for what is booked. */
+    void carryOut() {
+        for (Booking booking : List.copyOf(context.ledger().bookings())) {
+            if (inFlight.contains(booking.name())) {
+                continue;
+            }
+            String body =
+                    CloudMessages.rent(booking.name(), booking.type(), booking.zone(), booking.spot(), booking.count());
+            if (context.cloud().call("POST", "/machines", body, reply -> answered(booking, reply))) {
+                inFlight.add(booking.name());
+            }
+        }
+    }
+
+    private void answered(Booking booking, HttpCalls.Reply reply) {
+        if (reply.ok()) {
+            try {
+                rented(booking, CloudMessages.rented(reply.body()));
+                return;
+            } catch (Json.BadMessage e) {
+                LOG.warn("cloud: the answer to a rental can't be read: {}", e.getMessage());
+            }
+        } else if (reply.status() == 503 || reply.status() == 400) {
+            refusals.refused(offerOf(booking), context.loop().now());
+            settle(booking, withoutBooking(booking));
+            return;
+        }
+        context.loop().after(RETRY, () -> inFlight.remove(booking.name()));
+    }
+
+    private void rented(Booking booking, List<String> names) {
+        LOG.info(
+                "rented {} of {} {} in {}{}",
+                names.size(),
+                booking.count(),
+                booking.type(),
+                booking.zone(),
+                booking.spot() ? ", spot" : "");
+        if (names.size() < booking.count()) {
+            refusals.refused(offerOf(booking), context.loop().now());
+        }
+        record(booking, names);
+    }
+
+    /** The batch takes the booking's place in one transaction. */
+    private void record(Booking booking, List<String> names) {
+        StateStore.Txn txn = withoutBooking(booking);
+        List<String> fresh = names.stream()
+                .filter(name -> context.ledger().machine(name) == null)
+                .toList();
+        if (!fresh.isEmpty()) {
+            Instant now = context.loop().timeOfDay();
+            MachineBatch batch =
+                    MachineBatch.of(booking.name(), booking.type(), booking.zone(), booking.spot(), now, fresh);
+            txn.guard(Keys.batch(booking.name()), 0).set(Keys.batch(booking.name()), batch.toJson());
+        }
+        settle(booking, txn);
+    }
+
+    private StateStore.Txn withoutBooking(Booking booking) {
+        String key = Keys.booking(booking.name());
+        return new StateStore.Txn().guard(key, context.replica().stamp(key)).delete(key);
+    }
+
+    private void settle(Booking booking, StateStore.Txn txn) {
+        context.write(txn, ok -> inFlight.remove(booking.name()));
+    }
+}
