--- a/src/main/java/org/havenford/bookkeeping/Ledger.java
+++ b/src/main/java/org/havenford/bookkeeping/Ledger.java
@@ -114,6 +114,12 @@
         return jobsById.get(id);
     }
 
+    /** Whether nobody wants a claim's task any more: its job is cancelled, or over. */
+    public boolean isCancelled(Claim claim) {
+        Job job = job(claim.task().job());
+        return job == null || job.cancelled();
+    }
+
     /** Jobs that wait for others. */
     public Collection<String> waiting() {
         return waiting;
--- a/src/main/java/org/havenford/coordination/Claims.java
+++ b/src/main/java/org/havenford/coordination/Claims.java
@@ -179,7 +179,7 @@
         private final String key;
         private final StateStore.Txn txn = new StateStore.Txn();
         private final List<String> locks = new ArrayList<>();
-        private final Map<Claim, Fleet.Ending> ended = new HashMap<>();
+        private final Map<Claim, Ending> ended = new HashMap<>();
         private final Set<String> machines = new HashSet<>();
         private final boolean firstAfterRelease;
         private Chunk chunk;
@@ -264,7 +264,7 @@
         int index = draft.index;
         draft.chunk = draft.job.chunk(index).copy();
         for (Claim c : draft.job.chunk(index).claims()) {
-            Fleet.Ending ending = fleet.endings().get(c);
+            Ending ending = fleet.endings().get(c);
             if (ending != null) {
                 draft.ended.put(c, ending);
             }
@@ -303,7 +303,7 @@
                 name -> underWay.computeIfAbsent(name, n -> new ArrayList<>()).add(spec));
         Runnable onSuccess = () -> {
             draft.ended.keySet().forEach(fleet.endings()::remove);
-            context.loop().after(Duration.ZERO, () -> draft.machines.forEach(this::push));
+            context.loop().after(Duration.ZERO, () -> draft.machines.forEach(fleet::push));
             if (draft.firstAfterRelease) {
                 context.pipelineMetrics()
                         .firstClaim(draft.job.released(), context.loop().timeOfDay());
@@ -320,13 +320,6 @@
         });
     }
 
-    private void push(String machine) {
-        MachineState state = fleet.state(machine);
-        if (state != null) {
-            fleet.push(state);
-        }
-    }
-
     private void noLongerUnderWay(String machine, JobSpec spec) {
         List<JobSpec> on = underWay.get(machine);
         on.remove(spec);
--- a/src/main/java/org/havenford/coordination/Controller.java
+++ b/src/main/java/org/havenford/coordination/Controller.java
@@ -82,7 +82,16 @@
                 loop, settings, ledger, replica, store, membership, writer, finalStates, pipelineMetrics);
         Pipelines pipelines = new Pipelines(context);
         scheduler = new Scheduler(context, operator, fleet, pipelines);
-        provisioner = new Provisioner(loop, calls, settings, operator, ledger, replica, store, membership, this::wake);
+        provisioner = new Provisioner(new ProvisioningContext(
+                loop,
+                new CloudCalls(loop, calls, settings),
+                settings,
+                operator,
+                ledger,
+                replica,
+                store,
+                membership,
+                this::wake));
         users = new Users(context, pipelines, this::wake);
         ledger.observer(new Ledger.Observer() {
             @Override
@@ -206,7 +215,7 @@
                 answerMicros.getValueAtPercentile(50),
                 answerMicros.getValueAtPercentile(99),
                 lagMicros.getValueAtPercentile(99),
-                fleet.lateFired(),
+                fleet.lateStops(),
                 ledger.jobs().size(),
                 ledger.machines().size(),
                 (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/MachineHealth.java
@@ -0,0 +1,109 @@
+package org.havenford.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Consumer;
+import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.bookkeeping.MachineRecord.Condition;
+import org.havenford.protocol.Report;
+import org.havenford.protocol.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Judges the condition of this controller's machines from their reports. */
+final class MachineHealth {
+    private static final Logger LOG = LoggerFactory.getLogger(MachineHealth.class);
+    /** Reports in a row without a sign that our answers arrive, from which on a machine counts as silent. */
+    static final int MOST_UNANSWERED = 2;
+    /** A worker that has lost its controller tries others one after the other: no record is written for it meanwhile. */
+    private static final Duration SEARCHING = Duration.ofSeconds(10);
+
+    private final Consumer<String> changed;
+    /** Ages of a report, worked out once: they are compared for each machine in each round. */
+    private final Duration fresh;
+
+    private final Duration silent;
+
+    /** {@code changed} is told of machines whose condition has changed. */
+    MachineHealth(Settings settings, Consumer<String> changed) {
+        this.changed = changed;
+        this.fresh = settings.report().multipliedBy(2);
+        this.silent = settings.report().multipliedBy(5).dividedBy(2);
+    }
+
+    /** Age up to which a report says how a machine is. */
+    Duration fresh() {
+        return fresh;
+    }
+
+    /** Whether a machine can be given new tasks. */
+    boolean usable(MachineState machine, Instant now) {
+        // Answers to /do renew no lease: what starts on a machine that only answers is killed with it.
+        // mute-machine.trace
+        return machine.report != null
+                && machine.noticeUntil == null
+                && !now.isBefore(machine.refusedUntil)
+                && now.isBefore(machine.reported.plus(fresh));
+    }
+
+    /** Works out the condition of a machine anew. */
+    void judge(MachineState machine, MachineRecord onRecord, Instant now) {
+        Condition condition = machine.condition;
+        if (machine.report != null && now.isBefore(machine.reported.plus(fresh))) {
+            condition = heardLately(machine, onRecord);
+        } else if (machine.report == null && onRecord.condition().compareTo(Condition.RETIRING) < 0) {
+            // Not heard yet: what the owner before us said.
+            condition = onRecord.condition();
+        }
+        Instant lastSign = machine.report == null ? machine.renewed : machine.reported;
+        boolean expected = condition == Condition.UP || condition == Condition.DRAINING;
+        if (expected && Duration.between(lastSign, now).compareTo(silence(machine)) > 0) {
+            condition = Condition.SILENT;
+        }
+        if (condition != machine.condition) {
+            machine.condition = condition;
+            changed.accept(machine.name);
+        }
+    }
+
+    private static Condition heardLately(MachineState machine, MachineRecord onRecord) {
+        if (machine.unanswered >= MOST_UNANSWERED) {
+            return Condition.SILENT;
+        }
+        boolean faulty = machine.failedJobs.size() >= 2
+                || machine.condition == Condition.FAULTY
+                || contradicts(machine, onRecord);
+        if (faulty) {
+            return Condition.FAULTY;
+        }
+        return machine.noticeUntil != null ? Condition.DRAINING : Condition.UP;
+    }
+
+    /** After this long without a report a machine is on record as silent. */
+    private Duration silence(MachineState machine) {
+        return machine.report == null ? silent.plus(SEARCHING) : silent;
+    }
+
+    /**
+     * Whether a machine is not what its record says: then nobody knows what may run there, so it gets no more tasks and goes
+     * back to the cloud. contradicting-record.trace
+     */
+    private static boolean contradicts(MachineState machine, MachineRecord onRecord) {
+        Report report = machine.report;
+        boolean same = report.type().equals(onRecord.type())
+                && report.zone().equals(onRecord.zone())
+                && report.spot() == onRecord.spot();
+        if (!same && machine.condition != Condition.FAULTY) {
+            LOG.error(
+                    "{} is on record as {}, zone {}, spot {}, and reports {}, zone {}, spot {}",
+                    machine.name,
+                    onRecord.type(),
+                    onRecord.zone(),
+                    onRecord.spot(),
+                    report.type(),
+                    report.zone(),
+                    report.spot());
+        }
+        return !same;
+    }
+}
--- a/src/main/java/org/havenford/coordination/TaskReleases.java
+++ b/src/main/java/org/havenford/coordination/TaskReleases.java
@@ -44,7 +44,7 @@
         if (fleet.endings().isEmpty()) {
             return;
         }
-        Map<String, Map<Claim, Fleet.Ending>> byChunk = byChunk();
+        Map<String, Map<Claim, Ending>> byChunk = byChunk();
         Duration gather = context.store().pressed() ? gatherPressed : GATHER;
         Instant now = context.loop().now();
         byChunk.forEach((key, ended) -> {
@@ -58,8 +58,8 @@
         gathering.keySet().retainAll(byChunk.keySet());
     }
 
-    private Map<String, Map<Claim, Fleet.Ending>> byChunk() {
-        Map<String, Map<Claim, Fleet.Ending>> byChunk = new LinkedHashMap<>();
+    private Map<String, Map<Claim, Ending>> byChunk() {
+        Map<String, Map<Claim, Ending>> byChunk = new LinkedHashMap<>();
         fleet.endings().forEach((claim, ending) -> {
             TaskId task = claim.task();
             Job job = context.ledger().job(task.job());
@@ -71,12 +71,12 @@
         return byChunk;
     }
 
-    private Job jobOf(Map<Claim, Fleet.Ending> ended) {
+    private Job jobOf(Map<Claim, Ending> ended) {
         return context.ledger().job(ended.keySet().iterator().next().task().job());
     }
 
     /** Ends that somebody waits for: the last of a job's tasks, and those that have to start again. */
-    private boolean urgent(Map<Claim, Fleet.Ending> ended) {
+    private boolean urgent(Map<Claim, Ending> ended) {
         Job job = jobOf(ended);
         Chunk chunk =
                 job.stored(job.chunkOf(ended.keySet().iterator().next().task().index()));
@@ -86,7 +86,7 @@
     }
 
     /** Applies ends to a record. */
-    static void apply(Map<Claim, Fleet.Ending> ended, Chunk chunk) {
+    static void apply(Map<Claim, Ending> ended, Chunk chunk) {
         ended.forEach((claim, e) -> {
             int task = claim.task().index();
             if (e.done()) {
@@ -97,7 +97,7 @@
         });
     }
 
-    private void write(String key, Map<Claim, Fleet.Ending> ended) {
+    private void write(String key, Map<Claim, Ending> ended) {
         Job job = jobOf(ended);
         int index = job.chunkOf(ended.keySet().iterator().next().task().index());
         Chunk next = job.stored(index).copy();
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/TaskStops.java
@@ -0,0 +1,118 @@
+package org.havenford.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.havenford.bookkeeping.Claim;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.coordination.MachineState.Attempt;
+import org.havenford.coordination.MachineState.StopReason;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Marks attempts to be stopped although their claims hold: for lateness, for more urgent work, or because a machine goes. */
+final class TaskStops {
+    private static final Logger LOG = LoggerFactory.getLogger(TaskStops.class);
+    /** Part of the time left on a machine that is about to be taken by which an estimate may be exceeded. */
+    private static final double ESTIMATE_MARGIN = 1.3;
+
+    private final Ledger ledger;
+    private final Operator operator;
+    private long lateStops;
+
+    TaskStops(Ledger ledger, Operator operator) {
+        this.ledger = ledger;
+        this.operator = operator;
+    }
+
+    /** How many tasks were stopped for lateness. */
+    long lateStops() {
+        return lateStops;
+    }
+
+    /** Marks a claim to be stopped for more urgent work; whether it was not marked before. */
+    boolean preempt(MachineState machine, Claim claim) {
+        if (machine.report == null || claim.session() != machine.report.session()) {
+            return false;
+        }
+        Attempt attempt = machine.attempt(claim.task(), claim.attempt());
+        if (!attempt.seen || attempt.stop != null) {
+            return false;
+        }
+        LOG.info("{} on {} is stopped for more urgent work", claim.task(), claim.machine());
+        attempt.stop = StopReason.PREEMPTED;
+        return true;
+    }
+
+    /** The paper's trigger: marks attempts whose fetch is late against the medians of their job. */
+    void checkLateness(MachineState machine, Instant now) {
+        for (Claim claim : ledger.claimsOn(machine.name).values()) {
+            Attempt attempt = machine.attempts.get(claim.task());
+            Job job = ledger.job(claim.task().job());
+            if (mayBeLate(attempt, claim, job)) {
+                checkLateness(machine, claim, attempt, job, now);
+            }
+        }
+    }
+
+    /** A running task goes on: what is late there is not restarted. */
+    private boolean mayBeLate(Attempt attempt, Claim claim, Job job) {
+        boolean fetches = attempt != null
+                && attempt.number == claim.attempt()
+                && attempt.seen
+                && attempt.runFrom == null
+                && attempt.fetchFrom != null
+                && attempt.stop == null;
+        int task = claim.task().index();
+        return fetches
+                && job != null
+                && job.doneCount() >= operator.lateMinimumDone()
+                && !job.stored(job.chunkOf(task)).wasLate(task);
+    }
+
+    private void checkLateness(MachineState machine, Claim claim, Attempt attempt, Job job, Instant now) {
+        Duration fetch = job.medianFetch();
+        Duration run = job.medianRun();
+        if (fetch == null || run == null) {
+            return;
+        }
+        Duration elapsed = Duration.between(attempt.fetchFrom, now);
+        Duration estimate = Lateness.estimateFetching(elapsed, fetch, run);
+        double coefficient = Lateness.coefficient(estimate, fetch.plus(run));
+        if (coefficient > operator.lateThreshold()) {
+            lateStops++;
+            LOG.info(
+                    "late: {} on {} has fetched for {} (medians {} and {}), p = {}",
+                    claim.task(),
+                    machine.name,
+                    elapsed,
+                    fetch,
+                    run,
+                    coefficient);
+            attempt.stop = StopReason.LATE;
+        }
+    }
+
+    /** On a machine that is about to be taken, marks what can't be done in time, so that it starts elsewhere sooner. */
+    void drain(MachineState machine, Instant now) {
+        if (machine.noticeUntil == null) {
+            return;
+        }
+        Duration left = Duration.between(now, machine.noticeUntil);
+        for (Claim claim : ledger.claimsOn(machine.name).values()) {
+            Attempt attempt = machine.attempts.get(claim.task());
+            Job job = ledger.job(claim.task().job());
+            boolean goesOn = attempt != null && attempt.number == claim.attempt() && attempt.stop == null;
+            if (goesOn && job != null && !endsWithin(left, attempt, job, now)) {
+                attempt.stop = StopReason.DRAINED;
+            }
+        }
+    }
+
+    private static boolean endsWithin(Duration left, Attempt attempt, Job job, Instant now) {
+        Duration run = job.medianRun();
+        Duration whole = run == null ? job.spec().guess() : run;
+        Duration elapsed = attempt.runFrom == null ? Duration.ZERO : Duration.between(attempt.runFrom, now);
+        return whole.minus(elapsed).toMillis() <= left.toMillis() * ESTIMATE_MARGIN;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/WorkerCommands.java
@@ -0,0 +1,213 @@
+package org.havenford.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.havenford.bookkeeping.Claim;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Ledger;
+import org.havenford.coordination.MachineState.Attempt;
+import org.havenford.coordination.MachineState.StopReason;
+import org.havenford.protocol.Command;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.Report;
+import org.havenford.protocol.Settings;
+import org.havenford.protocol.TaskId;
+import org.havenford.transport.EventLoop;
+import org.havenford.transport.HttpCalls;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Works out the commands that a worker needs, from the claims on its machine and its newest report. They go out in the
+ * answer to a report, or directly where that would take too long.
+ */
+final class WorkerCommands {
+    private static final Logger LOG = LoggerFactory.getLogger(WorkerCommands.class);
+    /** Commands in the answer to a report: a line of it must not be longer than 64 KiB. */
+    private static final int MOST_IN_ANSWER = 200;
+
+    private static final int MOST_DIRECT = 40;
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    /** Between two direct commands to one worker. */
+    private static final Duration AFTER_ANSWER = Duration.ofMillis(20);
+
+    private static final Duration AFTER_REFUSAL = Duration.ofMillis(500);
+    /** The worker's next report brings the same commands; here nothing is gained by hurry. */
+    private static final Duration AFTER_FAILURE = Duration.ofSeconds(3);
+
+    private final EventLoop loop;
+    private final HttpCalls calls;
+    private final Ledger ledger;
+    private final Membership membership;
+    private final AttemptEndings endings;
+    private final Duration reachable;
+    private final BiConsumer<MachineState, HttpCalls.Reply> answered;
+
+    /** {@code answered} is told the reply to each direct command. */
+    WorkerCommands(
+            EventLoop loop,
+            HttpCalls calls,
+            Settings settings,
+            Ledger ledger,
+            Membership membership,
+            AttemptEndings endings,
+            BiConsumer<MachineState, HttpCalls.Reply> answered) {
+        this.loop = loop;
+        this.calls = calls;
+        this.ledger = ledger;
+        this.membership = membership;
+        this.endings = endings;
+        this.answered = answered;
+        this.reachable = settings.report().multipliedBy(3);
+    }
+
+    /** Commands that go out with the answer to a report. */
+    List<Command> forAnswer(MachineState machine) {
+        List<Command> commands = commands(machine, MOST_IN_ANSWER);
+        noteRuns(machine, commands, false);
+        return commands;
+    }
+
+    /** Sends what differs to the worker itself, without waiting for its next report. */
+    void push(MachineState machine) {
+        Instant now = loop.now();
+        if (machine.directInFlight
+                || now.isBefore(machine.directNotBefore)
+                || machine.report == null
+                || !membership.entitled()
+                || Duration.between(machine.heard, now).compareTo(reachable) > 0) {
+            return;
+        }
+        List<Command> commands = commands(machine, MOST_DIRECT);
+        commands.removeIf(command -> command.op() == Command.Op.FORGET);
+        if (commands.isEmpty()) {
+            return;
+        }
+        noteRuns(machine, commands, true);
+        machine.directInFlight = true;
+        String body = Command.direct(machine.token(), machine.report.session(), commands);
+        calls.call(machine.report.endpoint(), "POST", "/do", body, TIMEOUT, reply -> {
+            machine.directInFlight = false;
+            answered.accept(machine, reply);
+        });
+    }
+
+    /** Reads the report in the reply to a direct command, or null, and says when the next command may go out. */
+    Report reportIn(MachineState machine, HttpCalls.Reply reply) {
+        boolean executed = reply.status() == 200;
+        boolean refused = reply.status() == 409;
+        if (!executed && !refused) {
+            machine.directNotBefore = loop.now().plus(AFTER_FAILURE);
+            return null;
+        }
+        machine.directNotBefore = loop.now().plus(refused ? AFTER_REFUSAL : AFTER_ANSWER);
+        try {
+            Report report = Report.parse(Json.object(reply.body()));
+            machine.directAnswers++;
+            return report;
+        } catch (Json.BadMessage e) {
+            LOG.warn("{}: an answer to /do can't be read: {}", machine.name, e.getMessage());
+            return null;
+        }
+    }
+
+    private List<Command> commands(MachineState machine, int most) {
+        List<Command> commands = new ArrayList<>();
+        Report report = machine.report;
+        if (report == null || ledger.machine(machine.name) == null) {
+            return commands;
+        }
+        Map<TaskId, Claim> claims = ledger.claimsOn(machine.name);
+        for (Report.Entry entry : report.tasks()) {
+            Command command = forReported(machine, entry, claims.get(entry.task()));
+            if (command != null) {
+                commands.add(command);
+            }
+            if (commands.size() >= most) {
+                return commands;
+            }
+        }
+        // What others cancelled in our blind seconds must not start: runs wait until our copy has caught up. gap.trace
+        if (membership.current()) {
+            addRuns(machine, claims.values(), most, commands);
+        }
+        return commands;
+    }
+
+    /** What to do with a task that the worker reports; null for nothing. */
+    private Command forReported(MachineState machine, Report.Entry entry, Claim claim) {
+        boolean held =
+                claim != null && claim.attempt() == entry.attempt() && claim.session() == machine.report.session();
+        if (entry.state() == Report.State.EXITED) {
+            return held ? null : forget(machine, entry);
+        }
+        if (!held) {
+            return new Command(Command.Op.STOP, entry.task(), entry.attempt(), Duration.ZERO);
+        }
+        return stop(machine, entry, claim);
+    }
+
+    /**
+     * Whoever forgets can be made to start again by a run that is still under way: the token that comes with a forget is
+     * higher than that of any run sent by /do.
+     */
+    private static Command forget(MachineState machine, Report.Entry entry) {
+        if (machine.ranDirectly) {
+            machine.fence++;
+            machine.ranDirectly = false;
+        }
+        return new Command(Command.Op.FORGET, entry.task(), entry.attempt(), Duration.ZERO);
+    }
+
+    private Command stop(MachineState machine, Report.Entry entry, Claim claim) {
+        Attempt attempt = machine.attempt(claim.task(), claim.attempt());
+        if (ledger.isCancelled(claim)) {
+            attempt.stop = StopReason.CANCELLED;
+        }
+        boolean cancelled = attempt.stop == StopReason.CANCELLED;
+        if (attempt.stop == null || entry.state() == Report.State.SAVING && !cancelled) {
+            return null;
+        }
+        Job job = ledger.job(claim.task().job());
+        Duration save = job == null || cancelled ? Duration.ZERO : job.spec().save();
+        return new Command(Command.Op.STOP, entry.task(), entry.attempt(), save);
+    }
+
+    private void addRuns(MachineState machine, Iterable<Claim> claims, int most, List<Command> commands) {
+        for (Claim claim : claims) {
+            if (commands.size() < most && isToStart(machine, claim)) {
+                commands.add(new Command(Command.Op.RUN, claim.task(), claim.attempt(), Duration.ZERO));
+            }
+        }
+    }
+
+    private boolean isToStart(MachineState machine, Claim claim) {
+        Attempt attempt = machine.attempt(claim.task(), claim.attempt());
+        return claim.session() == machine.report.session()
+                && !attempt.seen
+                && attempt.stop == null
+                && !ledger.isCancelled(claim)
+                && !endings.contains(claim)
+                && machine.report.find(claim.task(), claim.attempt()) == null;
+    }
+
+    private void noteRuns(MachineState machine, List<Command> commands, boolean direct) {
+        for (Command command : commands) {
+            if (command.op() == Command.Op.RUN) {
+                Attempt attempt = machine.attempt(command.task(), command.attempt());
+                if (attempt.fetchFrom == null) {
+                    attempt.fetchFrom = loop.now();
+                    attempt.sawFetchStart = true;
+                }
+                if (direct) {
+                    attempt.directToken = machine.token();
+                    machine.ranDirectly = true;
+                }
+            }
+        }
+    }
+}
