Pauses, lost links, overdue machines and jobs that fail everywhere

- A controller that stood still finds it out before anything that was due or came in is handled (PauseDetector), logs it, and acts on nothing from before: entitlement asks for a comparison sent afterwards, machines that it could not hear are not silent, durations across the pause are not measured, the provisioner begins afresh.
- Lost links are named in the log and in /healthz, with since when and why (LinkMonitor).
- Rented machines that don't come up are replaced by what was seen of their type and zone; an offer in trouble is asked for two machines at a time; operators are told by type and zone at growing intervals (BootTimes, OverdueLog).
- A machine is faulty only by jobs that work elsewhere (FaultEvidence); a job that fails everywhere is tried with one task at a time, behind sound work, drives no rentals and stops nobody (FailingJobs).
- A job whose tasks avoid the only machine gets another: lone-faulty-machine.trace waited for ever before.

The tests' world learns broken jobs, boot times, dark zones, resets and storms of questions. The check of waits now counts a job that fails on every machine as served if it was tried within the 90 s: none of its tasks is ever done.

--- a/src/main/java/org/havenford/bookkeeping/Ledger.java
+++ b/src/main/java/org/havenford/bookkeeping/Ledger.java
@@ -67,6 +67,9 @@
         /** A batch of changes has been told. */
         void settled();
 
+        /** A job is over, and its header gone; {@code last} is what was known of it before. */
+        void jobEnded(Job last);
+
         /** All keys have been read. */
         void loaded();
     }
@@ -150,6 +153,11 @@
         return batchesOf.getOrDefault(machine, Set.of());
     }
 
+    /** When a machine on record was rented, or found, by the time of day. */
+    public Instant rentedAt(String machine) {
+        return batches.get(batchesOf.get(machine).iterator().next()).since();
+    }
+
     /** A batch of machines, or null. */
     public MachineBatch batch(String name) {
         return batches.get(name);
@@ -331,6 +339,7 @@
             noLongerWaiting(before);
             if (before != null) {
                 before.claims().forEach(c -> unindex(c, before.spec()));
+                observer.jobEnded(before);
                 for (int i = 0; i < before.chunkCount(); i++) {
                     if (before.stored(i) != null) {
                         orphans.put(id + "/" + i, new JsonObject());
--- a/src/main/java/org/havenford/coordination/Claims.java
+++ b/src/main/java/org/havenford/coordination/Claims.java
@@ -35,16 +35,11 @@
     /** Under pressure room is gathered, so that one claim takes several tasks of a record. */
     private static final Duration PLAN_EVERY_UNDER_PRESSURE = Duration.ofMillis(500);
 
-    private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
-    private static final Duration LONGEST_BACKOFF = Duration.ofMinutes(1);
-    private static final int MAX_DOUBLINGS = 10;
     /** A transaction allows this many conditions a change. */
     private static final int CONDITIONS_PER_CHANGE = 4;
     /** Conditions on the view, the job, its record and the team's shares, and some to spare. */
     private static final int OTHER_CONDITIONS = 6;
 
-    private record Backoff(int errors, Instant until) {}
-
     /** First and last time that a record's first owner was seen without room, in a row. */
     private record WithoutRoom(Instant first, Instant last) {}
 
@@ -74,7 +69,7 @@
     private final Map<String, List<JobSpec>> underWay = new HashMap<>();
 
     private final Map<String, WithoutRoom> withoutRoom = new HashMap<>();
-    private final Map<String, Backoff> backoffs = new HashMap<>();
+    private final FailingJobs failingJobs = new FailingJobs();
     private Instant crowdedUntil = Instant.MIN;
     private Instant nextPlan = Instant.MIN;
 
@@ -105,13 +100,24 @@
         plan.preempted().forEach(fleet::preempt);
     }
 
+    /** A job is over. */
+    void jobEnded(Job last) {
+        failingJobs.jobEnded(last);
+    }
+
+    /** This process has stood still: how long others have left records lying meanwhile is not known. */
+    void stoodStill() {
+        waits.clear();
+        withoutRoom.clear();
+    }
+
     private Planner.Limits limits(Instant start) {
         Instant deadline = start.plus(planningBudget);
         return new Planner.Limits(
                 m -> fleet.usable(m, start),
                 fleet::images,
                 fleet::condition,
-                this::backsOff,
+                job -> failingJobs.backsOff(job, start),
                 p -> fleet.avoided(p.task(), p.machine()),
                 fleet.endings()::containsKey,
                 m -> underWay.getOrDefault(m, List.of()),
@@ -152,26 +158,6 @@
         return now.isAfter(first.plus(HELP_AFTER));
     }
 
-    /** Whether the tasks of a job have failed so often that the next attempt has to wait. */
-    private boolean backsOff(Job job) {
-        int errors = job.errors();
-        if (errors == 0) {
-            backoffs.remove(job.id());
-            return false;
-        }
-        Backoff backoff = backoffs.get(job.id());
-        if (backoff == null || backoff.errors() != errors) {
-            backoff = new Backoff(errors, context.loop().now().plus(backoffAfter(errors)));
-            backoffs.put(job.id(), backoff);
-        }
-        return context.loop().now().isBefore(backoff.until());
-    }
-
-    private static Duration backoffAfter(int errors) {
-        Duration doubled = FIRST_BACKOFF.multipliedBy(1L << Math.min(MAX_DOUBLINGS, errors - 1));
-        return doubled.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : doubled;
-    }
-
     /** A claim while it is put together. */
     private static final class Draft {
         private final Job job;
--- a/src/main/java/org/havenford/coordination/Controller.java
+++ b/src/main/java/org/havenford/coordination/Controller.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
+import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Ledger;
 import org.havenford.bookkeeping.Replica;
@@ -37,6 +38,8 @@
     private static final Duration TALLY = Duration.ofSeconds(60);
 
     private final EventLoop loop;
+    private final PauseDetector pauses;
+    private final LinkMonitor links;
     private final Ledger ledger = new Ledger();
     private final StateStore store;
     private final Replica replica;
@@ -54,8 +57,11 @@
     private Instant lastComplaint = Instant.MIN;
 
     /** Puts a controller together; nothing happens before {@link #start}. */
-    public Controller(EventLoop loop, HttpCalls calls, Settings settings, Operator operator) {
-        this.loop = loop;
+    public Controller(EventLoop outerLoop, HttpCalls outerCalls, Settings settings, Operator operator) {
+        pauses = new PauseDetector(outerLoop, outerCalls, this::stoodStill);
+        loop = pauses;
+        links = new LinkMonitor(settings, loop);
+        HttpCalls calls = links.watching(pauses);
         store = new StateStore(
                 loop,
                 calls,
@@ -115,6 +121,12 @@
                 wake();
             }
 
+            @Override
+            public void jobEnded(Job last) {
+                fleet.jobEnded(last);
+                scheduler.jobEnded(last);
+            }
+
             @Override
             public void loaded() {
                 LOG.info(
@@ -162,6 +174,19 @@
         return fleet.ownedBy(node);
     }
 
+    /**
+     * This process has stood still while its clocks went on. What it knew before is old: others may have taken its place, its
+     * machines and its work. It is told here before anything that came or was due meanwhile is handled.
+     */
+    private void stoodStill(Duration pause) {
+        LOG.warn("stood still for {} s: nothing is decided on what was known before", pause.toMillis() / 1e3);
+        links.stoodStill(pause);
+        membership.stoodStill();
+        fleet.stoodStill(pause);
+        scheduler.stoodStill();
+        provisioner.stoodStill();
+    }
+
     private void tick() {
         Instant due = loop.now().plus(TICK);
         loop.after(TICK, () -> {
@@ -170,6 +195,7 @@
             tick();
             round();
             provisioner.step();
+            links.step(fleet.expectsReports());
             tally();
         });
     }
@@ -221,6 +247,11 @@
                 (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
         LOG.info("store: {}", store.tally());
         LOG.info("pipelines: {}", pipelineMetrics.summary());
+        LOG.info("links: {}", links.summary());
+        String machinesThatBoot = provisioner.summary();
+        if (machinesThatBoot != null) {
+            LOG.info("machines that boot: {}", machinesThatBoot);
+        }
         rounds.reset();
         answerMicros.reset();
         lagMicros.reset();
@@ -230,6 +261,7 @@
 
     @Override
     public void handle(Request request, Consumer<Response> answer) {
+        pauses.eventBegins();
         Instant start = loop.now();
         route(request, response -> {
             answerMicros.recordValue(Math.max(
@@ -245,10 +277,7 @@
         if (path.equals("/checkin") && post) {
             answer.accept(checkin(request.body()));
         } else if (path.equals("/healthz") && get) {
-            boolean well = replica.loaded()
-                    && membership.leaseHolds()
-                    && !ledger.types().isEmpty();
-            answer.accept(well ? Response.of(200, "{}") : Response.of(503, "{}"));
+            answer.accept(health());
         } else if (path.equals("/submissions") && post) {
             users.submit(request.body(), answer);
         } else if (path.startsWith("/submissions/")) {
@@ -265,7 +294,27 @@
         }
     }
 
+    /** Whether requests can be taken; for operators, the reason if not, and which links are lost since when. */
+    private Response health() {
+        String reason = null;
+        if (!replica.loaded()) {
+            reason = "the state service has not been read";
+        } else if (!membership.leaseHolds()) {
+            reason = "the membership lease is over";
+        } else if (ledger.types().isEmpty()) {
+            reason = "the machine types are not known";
+        }
+        JsonObject body = new JsonObject();
+        body.addProperty("ready", reason == null);
+        if (reason != null) {
+            body.addProperty("reason", reason);
+        }
+        body.add("lostLinks", links.toJson());
+        return Response.of(reason == null ? 200 : 503, body.toString());
+    }
+
     private Response checkin(byte[] body) {
+        links.reportArrived();
         try {
             if (body == null) {
                 throw new Json.BadMessage("too large or incomplete");
--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -25,12 +25,18 @@
     /** A kind of machine in one zone, which is what the cloud rents out. */
     record Offer(Kind kind, String zone) {}
 
-    /** Tasks of one job that should be able to run at the same time; one that is stuck needs a whole machine to begin with. */
-    record TaskDemand(JobSpec spec, double tasks, boolean stuck) {}
+    /**
+     * Tasks of one job that should be able to run at the same time; one that is stuck needs a whole machine to begin with, and
+     * one that is stuck after failures another machine than those there are.
+     */
+    record TaskDemand(JobSpec spec, double tasks, boolean stuck, boolean needsAnother) {}
 
     /** A job without a running task for this long after it came is stuck: what is there does not take it. */
     private static final Duration STUCK = Duration.ofSeconds(30);
 
+    /** Jobs that seem to fail everywhere, of those that fit the same types, that machines are rented for. */
+    private static final int MOST_SUSPECTS = 2;
+
     private static final double AWAITED = 1.5;
     /** Part of the wait that a class allows that is used to run its tasks one after the other. */
     private static final double FOLLOWING = 0.5;
@@ -57,6 +63,7 @@
     static List<TaskDemand> taskDemands(Ledger ledger, Settings settings, Instant timeOfDay, boolean patient) {
         List<TaskDemand> out = new ArrayList<>();
         Map<String, Double> used = new HashMap<>();
+        Map<String, Integer> suspects = new HashMap<>();
         for (Job j : ledger.jobs()) {
             if (j.cancelled() || j.waiting()) {
                 continue;
@@ -79,8 +86,9 @@
                 }
                 tasks = Math.max(tasks, j.claimCount());
             }
-            if (j.errors() >= 3) {
-                tasks = Math.min(tasks, 1);
+            if (FailingJobs.isSuspect(j)) {
+                boolean counts = suspects.merge(fittingTypes(s, ledger), 1, Integer::sum) <= MOST_SUSPECTS;
+                tasks = counts ? Math.min(tasks, 1) : 0;
             }
             Settings.Team team = settings.teams().get(s.team());
             if (team != null && team.cpusMax() > 0) {
@@ -92,11 +100,21 @@
                     && j.claimCount() == 0
                     && tasks > 0
                     && timeOfDay.isAfter(j.released().plus(STUCK));
-            out.add(new TaskDemand(s, tasks, stuck));
+            out.add(new TaskDemand(s, tasks, stuck, stuck && j.errors() > 0));
         }
         return out;
     }
 
+    private static String fittingTypes(JobSpec spec, Ledger ledger) {
+        List<String> types = new ArrayList<>();
+        for (MachineType type : ledger.types().values()) {
+            if (spec.fits(type) && (spec.types() == null || spec.types().contains(type.name()))) {
+                types.add(type.name());
+            }
+        }
+        return String.join(",", types);
+    }
+
     /** Seconds within which the class's tasks should start; 0 where nothing is said. */
     private static double startWithin(JobSpec s, Settings settings) {
         return settings.objectives().stream()
@@ -178,6 +196,21 @@
         return t.hourly(spot) / slots(s, t) * seconds;
     }
 
+    /** Kinds that a job may use, the cheapest first; what others can't do without is dearer than its price. */
+    private static List<Kind> kindsByCost(JobSpec s, Map<String, MachineType> types, Set<String> onlyChoice) {
+        List<Kind> kinds = new ArrayList<>();
+        for (MachineType t : types.values()) {
+            for (boolean spot : new boolean[] {true, false}) {
+                if (allowed(s, t, spot)) {
+                    kinds.add(new Kind(t.name(), spot));
+                }
+            }
+        }
+        kinds.sort(Comparator.comparingDouble((Kind k) -> cost(s, types.get(k.type()), k.spot())
+                * (kinds.size() > 2 && onlyChoice.contains(k.type()) ? AWAITED : 1)));
+        return kinds;
+    }
+
     /**
      * Spreads the taskDemands over the kinds, cheapest first; the jobs with the least choice go first. A kind that the cloud
      * has refused counts only with what is there.
@@ -202,19 +235,16 @@
                         .filter(t -> allowed(demand.spec(), t, false))
                         .count())
                 .thenComparing(demand -> demand.spec().id()));
+        boolean another = false;
         for (TaskDemand demand : sorted) {
             JobSpec s = demand.spec();
-            List<Kind> kinds = new ArrayList<>();
-            for (MachineType t : types.values()) {
-                for (boolean spot : new boolean[] {true, false}) {
-                    if (allowed(s, t, spot)) {
-                        kinds.add(new Kind(t.name(), spot));
-                    }
-                }
+            List<Kind> kinds = kindsByCost(s, types, onlyChoice);
+            if (demand.needsAnother() && !another) {
+                // Its tasks have failed on the machines that there are, and may be avoiding them. One more for all such
+                // jobs: most of them were submitted with a mistake. lone-faulty-machine.trace
+                another = true;
+                kinds.stream().filter(exhausted.negate()).findFirst().ifPresent(k -> out.addTo(k, 1));
             }
-            // What others can't do without is dearer than its price.
-            kinds.sort(Comparator.comparingDouble((Kind k) -> cost(s, types.get(k.type()), k.spot())
-                    * (kinds.size() > 2 && onlyChoice.contains(k.type()) ? AWAITED : 1)));
             double tasks = demand.tasks();
             for (Kind k : kinds) {
                 int slots = slots(s, types.get(k.type()));
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -48,6 +48,7 @@
     /** Machines to be looked at in the next round; the sweep looks at all. */
     private final Set<String> changed = new LinkedHashSet<>();
 
+    private final FaultEvidence evidence;
     private final AttemptEndings endings;
     private final MachineHealth health;
     private final ReportReader reports;
@@ -80,9 +81,10 @@
         this.membership = membership;
         this.wake = wake;
         endings = new AttemptEndings(capacityChanged);
-        health = new MachineHealth(settings, capacityChanged);
+        evidence = new FaultEvidence(ledger);
+        health = new MachineHealth(settings, evidence, capacityChanged);
         CachedImages images = new CachedImages(ledger, capacityChanged);
-        reports = new ReportReader(loop, ledger, endings, images, health.fresh());
+        reports = new ReportReader(loop, ledger, endings, images, evidence, health.fresh());
         commands = new WorkerCommands(loop, calls, settings, ledger, membership, endings, this::answered);
         stops = new TaskStops(ledger, operator);
         statusPublisher = new MachineStatusPublisher(loop, settings, ledger, replica, store);
@@ -257,7 +259,9 @@
         if (before != null) {
             boolean elsewhere =
                     report.session() > before.session() || report.seq() > before.seq() + 1 + machine.directAnswers;
-            machine.unanswered = elsewhere ? machine.unanswered + 1 : 0;
+            // A worker that got no answer while this process stood still has asked others meanwhile.
+            boolean counts = elsewhere && !machine.unheardSincePause;
+            machine.unanswered = counts ? machine.unanswered + 1 : 0;
         }
         machine.directAnswers = 0;
     }
@@ -277,6 +281,26 @@
         }
     }
 
+    /** A job is over. */
+    public void jobEnded(Job last) {
+        evidence.jobEnded(last);
+    }
+
+    /** Whether workers should report here: this controller owns machines that are on record as up. */
+    public boolean expectsReports() {
+        return membership.entitled()
+                && machines.values().stream().anyMatch(machine -> machine.condition == Condition.UP);
+    }
+
+    // ---- after a pause
+
+    /** This process has stood still for a while, and heard no worker meanwhile. */
+    public void stoodStill(Duration pause) {
+        machines.values().forEach(machine -> machine.stoodStill(pause));
+        misdirected.stoodStill();
+        nextSweep = loop.now().plus(SWEEP);
+    }
+
     // ---- commands
 
     /** Sends what differs to the worker itself, without waiting for its next report. */
@@ -349,6 +373,7 @@
         statusPublisher.publish(machines.values(), now);
         machines.values().removeIf(machine -> isForgotten(machine, now));
         endings.keepOnly(this::holds);
+        evidence.keepOnly(machines.keySet());
         misdirected.forgetOld(now);
     }
 
--- a/src/main/java/org/havenford/coordination/JobOrder.java
+++ b/src/main/java/org/havenford/coordination/JobOrder.java
@@ -17,7 +17,8 @@
 
 /**
  * The order in which jobs are served: what has waited too long without a start, then work within its team's guarantee, then
- * by priority, then by the latest start that still meets the aim of the class. Jobs that wait for others are no part of it.
+ * by priority, then by the latest start that still meets the aim of the class; last those that seem to fail on every machine.
+ * Jobs that wait for others are no part of it.
  */
 final class JobOrder {
     /** How long after its latest start a job is still taken to be in time: estimates are rough. */
@@ -74,7 +75,8 @@
         open.removeIf(job -> job.pendingCount() == 0);
         Map<String, Instant> latestStarts = new HashMap<>();
         open.forEach(job -> latestStarts.put(job.id(), latestStart(job, now)));
-        open.sort(Comparator.comparing((Job job) -> !starves(job, now))
+        open.sort(Comparator.comparing((Job job) -> FailingJobs.goesLast(job, now))
+                .thenComparing(job -> !starves(job, now))
                 .thenComparing(job -> !guaranteed.contains(job.id()))
                 .thenComparing(this::priority)
                 .thenComparing(job -> latestStarts.get(job.id()))
--- a/src/main/java/org/havenford/coordination/MachineHealth.java
+++ b/src/main/java/org/havenford/coordination/MachineHealth.java
@@ -19,13 +19,15 @@
     private static final Duration SEARCHING = Duration.ofSeconds(10);
 
     private final Consumer<String> changed;
+    private final FaultEvidence evidence;
     /** Ages of a report, worked out once: they are compared for each machine in each round. */
     private final Duration fresh;
 
     private final Duration silent;
 
     /** {@code changed} is told of machines whose condition has changed. */
-    MachineHealth(Settings settings, Consumer<String> changed) {
+    MachineHealth(Settings settings, FaultEvidence evidence, Consumer<String> changed) {
+        this.evidence = evidence;
         this.changed = changed;
         this.fresh = settings.report().multipliedBy(2);
         this.silent = settings.report().multipliedBy(5).dividedBy(2);
@@ -66,11 +68,11 @@
         }
     }
 
-    private static Condition heardLately(MachineState machine, MachineRecord onRecord) {
+    private Condition heardLately(MachineState machine, MachineRecord onRecord) {
         if (machine.unanswered >= MOST_UNANSWERED) {
             return Condition.SILENT;
         }
-        boolean faulty = machine.failedJobs.size() >= 2
+        boolean faulty = evidence.isFaulty(machine.name)
                 || machine.condition == Condition.FAULTY
                 || contradicts(machine, onRecord);
         if (faulty) {
--- a/src/main/java/org/havenford/coordination/MachineReturns.java
+++ b/src/main/java/org/havenford/coordination/MachineReturns.java
@@ -17,7 +17,6 @@
 import org.havenford.coordination.Demand.Kind;
 import org.havenford.coordination.Demand.Offer;
 import org.havenford.protocol.CloudMessages;
-import org.havenford.protocol.MachineType;
 import org.havenford.transport.HttpCalls;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,12 +43,12 @@
      * thousand machines without work still report, and cost most of the processor time of a quiet hour.
      */
     private static final int IDLE_FOR_SPEED = 6;
-    /** Boot time of a type that is not known. */
-    private static final Duration USUAL_BOOT = Duration.ofSeconds(60);
 
     private final ProvisioningContext context;
     private final CloudInventory inventory;
     private final RentalRefusals refusals;
+    private final BootTimes bootTimes;
+    private final OverdueLog overdueLog;
     private final Duration idlePatience;
     /** Machines of which a change of their batch, or their return, is under way. */
     private final Set<String> inFlight = new HashSet<>();
@@ -63,8 +62,16 @@
     private Instant nextTrim = Instant.MIN;
     private Instant nextDrop = Instant.MIN;
 
-    MachineReturns(ProvisioningContext context, CloudInventory inventory, RentalRefusals refusals, boolean speedFirst) {
+    MachineReturns(
+            ProvisioningContext context,
+            CloudInventory inventory,
+            RentalRefusals refusals,
+            BootTimes bootTimes,
+            OverdueLog overdueLog,
+            boolean speedFirst) {
         this.context = context;
+        this.bootTimes = bootTimes;
+        this.overdueLog = overdueLog;
         this.inventory = inventory;
         this.refusals = refusals;
         Duration patience = context.operator().idleBeforeReturn();
@@ -120,6 +127,9 @@
             String why = inFlight.contains(machine.name()) ? null : whyUnfit(machine, silentZones, now);
             if (why != null && change.mark(machine.name(), MachineBatch.Service.RETURNING)) {
                 LOG.info("returning {}: {}", machine.name(), why);
+                if (machine.condition() == Condition.BOOTING) {
+                    overdueLog.givenUp();
+                }
             }
         }
         write(change);
@@ -158,9 +168,7 @@
                 || !context.ledger().claimsOn(machine.name()).isEmpty()) {
             return false;
         }
-        MachineType type = context.ledger().types().get(machine.type());
-        Duration boot = type == null ? USUAL_BOOT : type.boot();
-        return context.age(machine).compareTo(boot.multipliedBy(3).plusSeconds(20)) > 0;
+        return bootTimes.isGivenUp(machine);
     }
 
     private String whySilentIsUnfit(MachineRecord machine, Set<String> silentZones, Instant now) {
--- a/src/main/java/org/havenford/coordination/MachineState.java
+++ b/src/main/java/org/havenford/coordination/MachineState.java
@@ -1,6 +1,7 @@
 package org.havenford.coordination;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
@@ -34,7 +35,8 @@
         boolean sawRunStart;
         double fetchSeconds = -1;
         StopReason stop;
-        Instant stopSent;
+        /** This controller has stood still during the present phase: its duration was not seen. */
+        boolean interrupted;
 
         Attempt(long number) {
             this.number = number;
@@ -59,6 +61,9 @@
     /** A {@code run} has gone out by /do under the present fence. */
     boolean ranDirectly;
 
+    /** This controller has stood still, and has not heard the worker since. */
+    boolean unheardSincePause;
+
     boolean directInFlight;
     Instant directNotBefore = Instant.MIN;
     Instant refusedUntil = Instant.MIN;
@@ -76,8 +81,6 @@
     List<String> images;
 
     final Object2ObjectOpenHashMap<TaskId, Attempt> attempts = new Object2ObjectOpenHashMap<>();
-    /** Jobs that failed here since the last task that completed. */
-    final Set<String> failedJobs = new HashSet<>();
     /** Tasks that failed here; they are placed elsewhere. */
     final Set<TaskId> avoid = new HashSet<>();
 
@@ -86,6 +89,24 @@
         this.renewed = renewed;
     }
 
+    /**
+     * This controller has stood still. The time in which it could hear nobody does not count as silence of the worker, and
+     * what began or ended meanwhile was not seen. The worker's lease is not touched: nobody else can have renewed it.
+     */
+    void stoodStill(Duration pause) {
+        unheardSincePause = true;
+        reported = afterPause(reported, pause);
+        heard = afterPause(heard, pause);
+        for (Attempt attempt : attempts.values()) {
+            attempt.interrupted = true;
+            attempt.sawRunStart = false;
+        }
+    }
+
+    private static Instant afterPause(Instant before, Duration pause) {
+        return before.equals(Instant.MIN) ? before : before.plus(pause);
+    }
+
     long token() {
         return epoch << 32 | fence;
     }
--- a/src/main/java/org/havenford/coordination/Membership.java
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -81,6 +81,9 @@
     private final ArrayDeque<Comparison> compared = new ArrayDeque<>();
 
     private Instant verified = Instant.MIN;
+    /** When this process last went on after it had stood still; no older comparison counts. */
+    private Instant wokeAt = Instant.MIN;
+
     private Instant lastProposal = Instant.MIN;
 
     /** {@code ownedBy} tells how many machines a node owns. */
@@ -180,6 +183,23 @@
         return verified;
     }
 
+    /**
+     * This process has stood still: it acts on nothing that it held before. It is entitled again once a comparison that was
+     * sent from now on agrees, and judges its peers once workers have had time to find their owners again.
+     */
+    void stoodStill() {
+        compared.clear();
+        verified = Instant.MIN;
+        wokeAt = loop.now();
+        viewSince = wokeAt;
+        misdirected.clear();
+        wantedMoves.clear();
+        wantsToWake = false;
+        if (registered && viewStamp > 0) {
+            compare();
+        }
+    }
+
     /** Whether the membership lease is certain to hold. */
     public boolean leaseHolds() {
         return loop.now().isBefore(leaseUntil);
@@ -255,6 +275,7 @@
             // Answers may overtake each other; of an older comparison nothing is learnt then.
             if (r.ok()
                     && stamp == viewStamp
+                    && !sent.isBefore(wokeAt)
                     && (compared.isEmpty() || compared.peekLast().sent().isBefore(sent))
                     && verified.isBefore(sent)) {
                 compared.add(new Comparison(sent, r.edition()));
--- a/src/main/java/org/havenford/coordination/MisdirectedWorkers.java
+++ b/src/main/java/org/havenford/coordination/MisdirectedWorkers.java
@@ -50,6 +50,11 @@
         workers.remove(machine);
     }
 
+    /** Reports from before a pause and those that follow it have nothing to do with each other. */
+    void stoodStill() {
+        workers.clear();
+    }
+
     /** Forgets workers that have not reported here for long. */
     void forgetOld(Instant now) {
         workers.values().removeIf(seen -> now.isAfter(seen.last().plus(FORGOTTEN_AFTER)));
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/PauseDetector.java
@@ -0,0 +1,65 @@
+package org.havenford.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Consumer;
+import org.havenford.transport.EventLoop;
+import org.havenford.transport.HttpCalls;
+
+/**
+ * Notices when this process has stood still while its clocks went on: between two events of the loop, of which a timer
+ * brings several a second, far more time has passed than any of them takes. Every event of the controller passes through
+ * here, so the pause is known before the first of those that were due or came in meanwhile is handled.
+ */
+final class PauseDetector implements EventLoop, HttpCalls {
+    /** The loop's timer comes several times a second; a busy processor delays it, but not for this long. */
+    static final Duration LEAST_PAUSE = Duration.ofSeconds(2);
+
+    private final EventLoop loop;
+    private final HttpCalls calls;
+    private final Consumer<Duration> paused;
+    private Instant lastEvent;
+
+    /** {@code paused} is told of each pause and its length, before the event that ends it is handled. */
+    PauseDetector(EventLoop loop, HttpCalls calls, Consumer<Duration> paused) {
+        this.loop = loop;
+        this.calls = calls;
+        this.paused = paused;
+    }
+
+    /** An event of the loop begins. */
+    void eventBegins() {
+        Instant now = loop.now();
+        Duration since = lastEvent == null ? Duration.ZERO : Duration.between(lastEvent, now);
+        lastEvent = now;
+        if (since.compareTo(LEAST_PAUSE) >= 0) {
+            paused.accept(since);
+        }
+    }
+
+    @Override
+    public Instant now() {
+        return loop.now();
+    }
+
+    @Override
+    public Instant timeOfDay() {
+        return loop.timeOfDay();
+    }
+
+    @Override
+    public void after(Duration delay, Runnable task) {
+        loop.after(delay, () -> {
+            eventBegins();
+            task.run();
+        });
+    }
+
+    @Override
+    public void call(String address, String method, String path, String body, Duration timeout, Consumer<Reply> done) {
+        calls.call(address, method, path, body, timeout, reply -> {
+            eventBegins();
+            done.accept(reply);
+        });
+    }
+}
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -325,10 +325,8 @@
         if (team != null && team.limited()) {
             quota = Math.min(quota, fitting(team, round.used.computeIfAbsent(s.team(), ledger::usage), one));
         }
-        if (job.errors() >= 3) {
-            // A job that fails everywhere keeps one task going, so that it does not eat the fleet.
-            quota = Math.min(quota, Math.max(0, 1 - job.claimCount() - round.placed(job)));
-        }
+        // A job that fails everywhere keeps one task going, so that it does not eat the fleet.
+        quota = Math.min(quota, Math.max(0, FailingJobs.mostClaims(job) - job.claimCount() - round.placed(job)));
         if (quota <= 0) {
             return;
         }
@@ -363,6 +361,7 @@
         }
         if (unplaced > 0
                 && machines == Machines.ALL
+                && !FailingJobs.isSuspect(job)
                 && !reserve(s, priority(job), offers, zones, unplaced)
                 && preemption.isPressing(job, round.now)) {
             preemption.preempt(s, priority(job), unplaced, zones, onlyZone, round);
--- a/src/main/java/org/havenford/coordination/Preemption.java
+++ b/src/main/java/org/havenford/coordination/Preemption.java
@@ -39,7 +39,7 @@
 
     /** Whether a job of high priority is about to miss the start that its class aims at. */
     boolean isPressing(Job job, Instant now) {
-        if (order.priority(job).compareTo(JobSpec.Priority.NORMAL) >= 0) {
+        if (order.priority(job).compareTo(JobSpec.Priority.NORMAL) >= 0 || FailingJobs.isSuspect(job)) {
             return false;
         }
         Instant latest = order.latestStart(job, now);
--- a/src/main/java/org/havenford/coordination/Provisioner.java
+++ b/src/main/java/org/havenford/coordination/Provisioner.java
@@ -13,7 +13,6 @@
 import org.havenford.coordination.Demand.Kind;
 import org.havenford.coordination.Demand.Offer;
 import org.havenford.coordination.Demand.TaskDemand;
-import org.havenford.protocol.MachineType;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +29,8 @@
     private final RentalRefusals refusals = new RentalRefusals();
     private final Rentals rentals;
     private final MachineReturns returns;
+    private final BootTimes bootTimes;
+    private final OverdueLog overdueLog = new OverdueLog();
     private final FleetTarget target;
     private final boolean speedFirst;
     private Instant nextSize = Instant.MIN;
@@ -40,8 +41,9 @@
         this.context = context;
         this.speedFirst = context.operator().speedFirst(context.settings());
         this.inventory = new CloudInventory(context);
-        this.rentals = new Rentals(context, refusals);
-        this.returns = new MachineReturns(context, inventory, refusals, speedFirst);
+        this.bootTimes = new BootTimes(context.ledger());
+        this.rentals = new Rentals(context, refusals, bootTimes);
+        this.returns = new MachineReturns(context, inventory, refusals, bootTimes, overdueLog, speedFirst);
         this.target = new FleetTarget(speedFirst, context.operator().spareShare());
     }
 
@@ -65,13 +67,26 @@
         rentals.carryOut();
         if (!now.isBefore(nextSize) && !context.ledger().types().isEmpty()) {
             nextSize = now.plus(SIZE_EVERY);
+            bootTimes.update(context.loop().timeOfDay());
+            overdueLog.overdue(bootTimes.overdue(), bootTimes, now);
             returns.markUnfit(now);
             size(now);
         }
     }
 
+    /** Machines that don't come up, for the log's line of each minute; null where this member is not the one that rents. */
+    public String summary() {
+        return active ? overdueLog.summary() : null;
+    }
+
+    /** This process has stood still: what was seen of idle and silent machines before is old. */
+    public void stoodStill() {
+        active = false;
+    }
+
     private void begin(Instant now) {
         inventory.reset();
+        bootTimes.reset();
         rentals.reset();
         returns.reset(now);
         target.reset();
@@ -110,11 +125,9 @@
     }
 
     private boolean counts(MachineRecord machine) {
-        MachineType type = context.ledger().types().get(machine.type());
         return switch (machine.condition()) {
             case UP, SILENT -> true;
-            case BOOTING ->
-                type != null && context.age(machine).compareTo(type.boot().multipliedBy(2)) < 0;
+            case BOOTING -> !bootTimes.isOverdue(machine);
             default -> false;
         };
     }
--- a/src/main/java/org/havenford/coordination/Rentals.java
+++ b/src/main/java/org/havenford/coordination/Rentals.java
@@ -35,15 +35,19 @@
 
     private static final int MOST_BOOKINGS = 3;
     private static final Duration RETRY = Duration.ofSeconds(1);
+    /** Machines that an offer whose machines don't come up is tried with. */
+    private static final int TRIED_WITH = 2;
 
     private final ProvisioningContext context;
     private final RentalRefusals refusals;
+    private final BootTimes bootTimes;
     /** Bookings that the cloud has been asked for, or whose outcome is being written. */
     private final Set<String> inFlight = new HashSet<>();
 
     private boolean writing;
 
-    Rentals(ProvisioningContext context, RentalRefusals refusals) {
+    Rentals(ProvisioningContext context, RentalRefusals refusals, BootTimes bootTimes) {
+        this.bootTimes = bootTimes;
         this.context = context;
         this.refusals = refusals;
     }
@@ -85,8 +89,8 @@
                 .thenComparing(offer -> offer.kind().spot()));
         for (Offer offer : offers) {
             int lacking = FleetTarget.wholeMachines(bound.getDouble(offer)) - there.getOrDefault(offer, 0);
-            if (lacking > 0 && mayBook(txn)) {
-                int count = Math.min(MOST_RENTED, lacking);
+            int count = Math.min(lacking, mostOf(offer));
+            if (count > 0 && mayBook(txn)) {
                 book(offer, count, txn);
                 missing.merge(offer.kind(), -count, Integer::sum);
             }
@@ -126,9 +130,12 @@
         for (int i = 0; i < zones.size() && missing > 0 && mayBook(txn); i++) {
             int zonesLeft = zones.size() - i;
             int even = (missing + zonesLeft - 1) / zonesLeft;
-            int count = Math.min(MOST_RENTED, missing <= MOST_RENTED / 2 ? missing : even);
-            book(new Offer(kind, zones.get(i)), count, txn);
-            missing -= count;
+            Offer offer = new Offer(kind, zones.get(i));
+            int count = Math.min(mostOf(offer), missing <= MOST_RENTED / 2 ? missing : even);
+            if (count > 0) {
+                book(offer, count, txn);
+                missing -= count;
+            }
         }
     }
 
@@ -142,11 +149,22 @@
         List<String> zones =
                 new ArrayList<>(context.ledger().types().get(kind.type()).zones());
         zones.removeIf(zone -> refusals.lately(new Offer(kind, zone), now));
-        zones.sort(Comparator.comparingInt((String zone) -> inZone.getOrDefault(zone, 0))
+        zones.sort(Comparator.comparing((String zone) -> bootTimes.isTroubled(new Offer(kind, zone)))
+                .thenComparing(zone -> inZone.getOrDefault(zone, 0))
                 .thenComparing(zone -> zone));
         return zones;
     }
 
+    /** Machines of an offer that may be rented at once: few, and now and then, where they don't come up. */
+    private int mostOf(Offer offer) {
+        if (!bootTimes.isTroubled(offer)) {
+            return MOST_RENTED;
+        }
+        boolean isBooked = context.ledger().bookings().stream()
+                .anyMatch(booking -> offerOf(booking).equals(offer));
+        return !isBooked && bootTimes.mayBeTried(offer) ? TRIED_WITH : 0;
+    }
+
     private boolean mayBook(StateStore.Txn txn) {
         return context.ledger().bookings().size() + txn.writes() < MOST_BOOKINGS;
     }
--- a/src/main/java/org/havenford/coordination/ReportReader.java
+++ b/src/main/java/org/havenford/coordination/ReportReader.java
@@ -24,10 +24,18 @@
     private final Ledger ledger;
     private final AttemptEndings endings;
     private final CachedImages images;
+    private final FaultEvidence evidence;
     private final Duration fresh;
 
     /** Claims younger than {@code fresh} are taken to have begun when they were first seen. */
-    ReportReader(EventLoop loop, Ledger ledger, AttemptEndings endings, CachedImages images, Duration fresh) {
+    ReportReader(
+            EventLoop loop,
+            Ledger ledger,
+            AttemptEndings endings,
+            CachedImages images,
+            FaultEvidence evidence,
+            Duration fresh) {
+        this.evidence = evidence;
         this.loop = loop;
         this.ledger = ledger;
         this.endings = endings;
@@ -40,6 +48,7 @@
         Report before = machine.report;
         machine.report = report;
         machine.heard = loop.now();
+        machine.unheardSincePause = false;
         if (report.noticeS() != null && machine.noticeUntil == null) {
             machine.noticeUntil = loop.now().plusMillis((long) (report.noticeS() * 1000));
         }
@@ -110,7 +119,7 @@
         }
         attempt.runFrom = loop.now();
         boolean young = Duration.between(claim.at(), loop.timeOfDay()).compareTo(fresh) < 0;
-        attempt.sawRunStart = attempt.sawFetchStart || young;
+        attempt.sawRunStart = !attempt.interrupted && (attempt.sawFetchStart || young);
         if (attempt.sawRunStart) {
             attempt.fetchSeconds = attempt.fetchFrom == null ? 0 : seconds(attempt.fetchFrom, attempt.runFrom);
         }
@@ -133,7 +142,7 @@
             case "error" -> {
                 LOG.info("{} failed on {}", claim.task(), machine.name);
                 machine.avoid.add(claim.task());
-                machine.failedJobs.add(claim.task().job());
+                evidence.failed(machine.name, claim.task().job());
                 endings.end(claim, Ending.FAILED);
             }
             case "no_room", "busy" -> {
@@ -152,7 +161,7 @@
         images.used(machine, ledger.job(claim.task().job()));
         boolean sawRun = attempt.sawRunStart && attempt.runFrom != null;
         double run = sawRun ? seconds(attempt.runFrom, loop.now()) : -1;
-        machine.failedJobs.clear();
+        evidence.succeeded(machine.name);
         endings.end(claim, Ending.done(attempt.fetchSeconds, run));
     }
 }
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import org.HdrHistogram.Histogram;
+import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Keys;
 
 /**
@@ -58,6 +59,17 @@
         roundMicros.recordValue(Math.min(MAX_RECORDED_MICROS, micros));
     }
 
+    /** A job is over. */
+    public void jobEnded(Job last) {
+        claims.jobEnded(last);
+    }
+
+    /** This process has stood still for a while. */
+    public void stoodStill() {
+        claims.stoodStill();
+        planner.allChanged();
+    }
+
     /** The machine, its claims or the ends on it have changed. */
     public void machineChanged(String machine) {
         planner.changed(machine);
--- a/src/main/java/org/havenford/coordination/TaskStops.java
+++ b/src/main/java/org/havenford/coordination/TaskStops.java
@@ -46,6 +46,10 @@
 
     /** The paper's trigger: marks attempts whose fetch is late against the medians of their job. */
     void checkLateness(MachineState machine, Instant now) {
+        if (machine.unheardSincePause) {
+            // The fetch may be over: nobody has listened.
+            return;
+        }
         for (Claim claim : ledger.claimsOn(machine.name).values()) {
             Attempt attempt = machine.attempts.get(claim.task());
             Job job = ledger.job(claim.task().job());
--- a/src/test/java/org/havenford/coordination/PipelineDecisionsTest.java
+++ b/src/test/java/org/havenford/coordination/PipelineDecisionsTest.java
@@ -28,6 +28,10 @@
     private final Ledger ledger = new Ledger();
     private long stamp;
 
+    PipelineDecisionsTest() {
+        ledger.observer(new QuietObserver());
+    }
+
     /** A stored header; {@code readyAgo} is negative for a job that was not released. */
     private JsonObject header(
             String id, String team, String urgency, long submittedAgo, List<String> awaits, long readyAgo) {
--- a/src/test/java/org/havenford/coordination/QuietObserver.java
+++ b/src/test/java/org/havenford/coordination/QuietObserver.java
@@ -1,6 +1,7 @@
 package org.havenford.coordination;
 
 import com.google.gson.JsonObject;
+import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Ledger;
 
 /** For tests that read the ledger and need not be told of its changes. */
@@ -17,6 +18,9 @@
     @Override
     public void settled() {}
 
+    @Override
+    public void jobEnded(Job last) {}
+
     @Override
     public void loaded() {}
 }
--- a/src/test/java/org/havenford/coordination/StoredValuesTest.java
+++ b/src/test/java/org/havenford/coordination/StoredValuesTest.java
@@ -148,6 +148,9 @@
             @Override
             public void settled() {}
 
+            @Override
+            public void jobEnded(Job last) {}
+
             @Override
             public void loaded() {}
         };
--- a/src/test/java/org/havenford/world/Cloud.java
+++ b/src/test/java/org/havenford/world/Cloud.java
@@ -35,8 +35,15 @@
     private int created;
     boolean outage;
     List<String> zones = List.of("a", "b", "c");
-    /** Machines rented from now on never come up. */
-    boolean bootFails;
+    /** Zones in which machines rented from now on never come up. */
+    final Set<String> darkZones = new HashSet<>();
+    /** How long machines rented from now on take to be up; null for the usual time. */
+    Duration bootTime;
+    /** Machines that were rented so far. */
+    int rented;
+
+    /** Machines that the cloud has of each type, zone and kind. */
+    int perOffer = PER_OFFER;
 
     Cloud(World world) {
         this.world = world;
@@ -60,7 +67,7 @@
         Worker w = new Worker(world, name, type, zone, spot);
         world.workers.put(name, w);
         world.lies(name + ":9000", zone);
-        if (!bootFails) {
+        if (!darkZones.contains(zone)) {
             world.after(in, () -> {
                 if (!gone.contains(name)) {
                     w.start();
@@ -132,13 +139,15 @@
             long there = world.workers.values().stream()
                     .filter(w -> !gone.contains(w.name) && w.type.equals(type) && w.zone.equals(zone) && w.spot == spot)
                     .count();
-            int n = (int) Math.min(o.get("count").getAsInt(), PER_OFFER - there);
+            int n = (int) Math.min(o.get("count").getAsInt(), perOffer - there);
             if (n <= 0) {
                 return new Reply(503, "{\"error\":\"no capacity\"}");
             }
             names = new ArrayList<>();
             for (int i = 0; i < n; i++) {
-                names.add(boot(type, zone, spot, Duration.ofMillis(15_000 + world.random.nextInt(10_000))).name);
+                Duration usual = Duration.ofMillis(15_000 + world.random.nextInt(10_000));
+                names.add(boot(type, zone, spot, bootTime == null ? usual : bootTime).name);
+                rented++;
             }
             bookings.put(booking, names);
             firstRented.putIfAbsent(spot ? "spot" : "ordinary", world.now);
--- a/src/test/java/org/havenford/world/Rules.java
+++ b/src/test/java/org/havenford/world/Rules.java
@@ -24,6 +24,8 @@
     /** Starts after their job's cancellation was confirmed: counted by users, broken only after the time allowed. */
     int startsAfterCancel;
 
+    private final Map<String, Integer> startsOf = new HashMap<>();
+    private final Map<String, Instant> lastStartOf = new HashMap<>();
     private final Map<String, Instant> waiting = new HashMap<>();
     private boolean touched = true;
     private Instant waitsChecked = Instant.MIN;
@@ -53,12 +55,19 @@
         return shot.substring(0, shot.indexOf('/'));
     }
 
+    /** How many times tasks of a job have started. */
+    int starts(String job) {
+        return startsOf.getOrDefault(job, 0);
+    }
+
     void touched() {
         touched = true;
     }
 
     void started(Worker on, Worker.Task t) {
         starts++;
+        startsOf.merge(jobOf(t.shot), 1, Integer::sum);
+        lastStartOf.put(jobOf(t.shot), world.now);
         touched = true;
         world.note(t.shot + " take " + t.take + " starts on " + on.name);
         Users.Job j = world.users.jobs.get(jobOf(t.shot));
@@ -145,7 +154,10 @@
                     && j.doneTold == null
                     && !world.users.mayBeWithdrawn(j)
                     && j.awaits.stream().allMatch(a -> world.store.value("final/" + a) != null);
-            boolean pending = open && unstarted(j);
+            // Of a job that fails on every machine no task is ever done: it must be tried often enough.
+            Instant tried = lastStartOf.getOrDefault(j.id, Instant.MIN);
+            boolean triedLately = j.broken && tried.plus(WAITS_AT_MOST).isAfter(world.now);
+            boolean pending = open && unstarted(j) && !triedLately;
             Settings.Team team = world.template.teams().get(j.team);
             boolean allowed = team.cpusMax() <= 0 || used.getOrDefault(j.team, 0.0) + j.cpus <= team.cpusMax() + 1e-6;
             Map<String, Integer> byZone = pending && allowed ? tasksByZone(j) : Map.of();
@@ -246,7 +258,7 @@
             largest.merge(j.lineup, j.tasks, Math::max);
         }
         for (Users.Job j : world.users.jobs.values()) {
-            if (!j.accepted || j.cancelTold != null || j.takenAlong != null) {
+            if (!j.accepted || j.broken || j.cancelTold != null || j.takenAlong != null) {
                 continue;
             }
             groups.computeIfAbsent("class " + j.lineup, k -> new ArrayList<>()).add(j);
--- a/src/test/java/org/havenford/world/Trace.java
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -60,6 +60,7 @@
         boolean old = false;
         String state = STATE;
         int keptChanges = 10_000;
+        int perOffer = 0;
         for (String raw : lines) {
             String line = raw.replaceFirst("#.*", "").strip();
             if (line.isEmpty()) {
@@ -73,6 +74,7 @@
                             ",\"next\":{\"value_kb\":" + w[1] + ",\"txn_ops\":" + w[2] + ",\"write_rps\":" + w[3]
                                     + "}}");
                 case "version" -> old = w[1].equals("format-1");
+                case "per-offer" -> perOffer = Integer.parseInt(w[1]);
                 case "keep-changes" -> keptChanges = Integer.parseInt(w[1]);
                 case "nodes" -> nodes = Integer.parseInt(w[1]);
                 case "seed" -> seed = Long.parseLong(w[1]);
@@ -87,6 +89,7 @@
         World world = new World(seed, settings(0, nodes, teamText, WORKERS, state));
         out[0] = world;
         world.store.keptChanges = keptChanges;
+        world.cloud.perOffer = perOffer > 0 ? perOffer : world.cloud.perOffer;
         for (int i = 0; i < nodes; i++) {
             Settings before = old ? settings(i, nodes, teamText, WORKERS, STATE) : null;
             world.addNode(settings(i, nodes, teamText, WORKERS, state), before);
@@ -155,6 +158,9 @@
                                             .getAsJsonArray("resting")
                                             .size()
                                     == Integer.parseInt(e[2]);
+                        case "rented-at-most" -> world.cloud.rented <= Integer.parseInt(e[2]);
+                        case "starts-at-most" -> world.rules.starts(e[2]) <= Integer.parseInt(e[3]);
+                        case "calls-at-most" -> world.store.requests <= Integer.parseInt(e[2]);
                         case "gone" -> world.cloud.gone.contains(e[2]);
                         case "late-starts" -> world.rules.startsAfterCancel <= Integer.parseInt(e[2]);
                         case "starts" -> world.rules.starts == Integer.parseInt(e[2]);
@@ -162,12 +168,21 @@
                         default -> throw new IllegalArgumentException(String.join(" ", e));
                     };
             if (!holds) {
-                wrong.add("expected: " + String.join(" ", List.of(e).subList(1, e.length)));
+                wrong.add("expected: " + String.join(" ", List.of(e).subList(1, e.length)) + counted(world, e));
             }
         }
         return wrong;
     }
 
+    private static String counted(World world, String[] expectation) {
+        return switch (expectation[1]) {
+            case "rented-at-most" -> ", rented " + world.cloud.rented;
+            case "calls-at-most" -> ", calls " + world.store.requests;
+            case "starts-at-most" -> ", starts " + world.rules.starts(expectation[2]);
+            default -> "";
+        };
+    }
+
     private static String end(World w, String name) {
         if (w.nodes.containsKey(name)) {
             return w.nodes.get(name).settings.bind();
@@ -204,6 +219,11 @@
                     w.store.endOutage();
                 }
             }
+            case "dark-zone" -> w.cloud.darkZones.add(a);
+            case "lit-zone" -> w.cloud.darkZones.remove(a);
+            case "boots" -> w.cloud.bootTime = Duration.ofMillis((long) (Double.parseDouble(a) * 1000));
+            case "boots-usually" -> w.cloud.bootTime = null;
+            case "polls-as-often" -> w.users.pollsAsOften = Integer.parseInt(a);
             case "cloud-outage" -> w.cloud.outage = a.equals("on");
             case "freeze" -> w.nodes.get(a).freeze();
             case "thaw" -> w.nodes.get(a).thaw();
@@ -230,6 +250,7 @@
             case "copies" -> w.copies.put(end(w, a), Duration.ofMillis((long) (Double.parseDouble(e[4]) * 1000)));
             case "no-copies" -> w.copies.remove(end(w, a));
             case "unreach" -> w.workers.values().forEach(m -> w.cut(end(w, a), end(w, m.name), World.Cut.DROP));
+            case "reset-workers" -> w.workers.values().forEach(m -> w.cut(end(w, a), end(w, m.name), World.Cut.RESET));
             case "reach" -> w.workers.values().forEach(m -> w.heal(end(w, a), end(w, m.name)));
             case "reboot" -> w.workers.get(a).reboot();
             case "hang" -> w.workers.get(a).hang(true);
--- a/src/test/java/org/havenford/world/Users.java
+++ b/src/test/java/org/havenford/world/Users.java
@@ -33,6 +33,9 @@
         String zone;
         String urgency = "normal";
         double due;
+        /** Submitted with a mistake: each of its tasks fails on every machine. */
+        boolean broken;
+
         boolean accepted;
         Instant cancelTold;
         String lineup = "class";
@@ -61,6 +64,9 @@
     /** Tasks whose result is kept. */
     final Set<String> finished = new HashSet<>();
 
+    /** How many times as often as usual users ask about their jobs. */
+    int pollsAsOften = 1;
+
     /** Whether users ask and repeat at all controllers within milliseconds of an acceptance, an end or a cancellation. */
     boolean closeLooks;
 
@@ -92,6 +98,7 @@
         j.image = "img-" + (Integer.parseInt(id.substring(2)) % 3);
         j.spot = true;
         for (String o : options) {
+            j.broken |= o.equals("broken");
             j.apart |= o.equals("apart");
             j.together |= o.equals("together");
             j.spot &= !o.equals("ordinary");
@@ -179,7 +186,8 @@
     }
 
     private void poll(Job j) {
-        world.after(Duration.ofMillis(4000 + world.random.nextInt(2000)), () -> {
+        int often = Math.max(1, pollsAsOften);
+        world.after(Duration.ofMillis((4000 + world.random.nextInt(2000)) / often), () -> {
             String knew = j.last;
             Instant asked = world.now;
             world.call("users", someNode(), "GET", "/submissions/" + j.id, null, Duration.ofSeconds(2), r -> {
--- a/src/test/java/org/havenford/world/Worker.java
+++ b/src/test/java/org/havenford/world/Worker.java
@@ -312,14 +312,15 @@
                         world.rules.started(this, t);
                         Duration length =
                                 world.users.finished.contains(shot) ? Duration.ofMillis(1) : job.run(world.random);
+                        boolean fails = faulty || job.broken;
                         world.after(
-                                faulty ? Duration.ofSeconds(1) : length,
+                                fails ? Duration.ofSeconds(1) : length,
                                 () -> act(() -> {
                                     if (tasks.get(shot + "#" + take) == t && t.status.equals("running")) {
-                                        if (!faulty) {
+                                        if (!fails) {
                                             world.users.finished.add(shot);
                                         }
-                                        exit(t, faulty ? "error" : "done");
+                                        exit(t, fails ? "error" : "done");
                                     }
                                 }));
                     }
--- a/src/test/java/org/havenford/world/World.java
+++ b/src/test/java/org/havenford/world/World.java
@@ -30,6 +30,8 @@
     enum Cut {
         /** Messages vanish. */
         DROP,
+        /** Connections are refused at once. */
+        RESET,
         /** Messages are kept and delivered when the cut ends, however late. */
         HOLD
     }
@@ -250,6 +252,10 @@
                     .request(method, path, body, reply -> carry(to, from, () -> once.accept(reply))));
             return;
         }
+        if (cuts.get(link(from, to)) == Cut.RESET) {
+            after(Duration.ofMillis(1), () -> once.accept(new HttpCalls.Reply(HttpCalls.NOT_SENT, "")));
+            return;
+        }
         carry(from, to, () -> {
             Server s = servers.get(to);
             if (s == null) {
