Guests beside urgent work, and four thousand machines

Now urgent, guaranteed and starving jobs are looked at first in each round, eight starving jobs at a time, low claims and ends are gathered under pressure, and low work that saves may be stopped whenever it runs.

At size: whether a machine takes tasks is not looked up for each machine in each round any more, which was most of a controller's time with 4,000 machines; idle machines are not gone through for commands; demands are sorted by numbers worked out once. A list of machines of more pages than calls may go out at once was never read to its end; it is now.

--- a/src/main/java/org/havenford/coordination/Claims.java
+++ b/src/main/java/org/havenford/coordination/Claims.java
@@ -41,6 +41,11 @@
     private static final int OTHER_CONDITIONS = 6;
 
     /** First and last time that a record's first owner was seen without room, in a row. */
+    /** Tasks of a large job of low priority that one claim takes under pressure, or else after a while. */
+    private static final int LEAST_GATHERED = 12;
+
+    private static final Duration GATHER_LOW = Duration.ofSeconds(3);
+
     private record WithoutRoom(Instant first, Instant last) {}
 
     /** A record whose tasks are planned for machines of another owner. */
@@ -70,6 +75,9 @@
 
     private final Map<String, WithoutRoom> withoutRoom = new HashMap<>();
     private final FailingJobs failingJobs = new FailingJobs();
+    /** Large jobs of low priority whose room is being gathered, and since when. */
+    private final Map<String, Instant> gatheringSince = new HashMap<>();
+
     private Instant crowdedUntil = Instant.MIN;
     private Instant nextPlan = Instant.MIN;
 
@@ -90,7 +98,11 @@
         Planner.Plan plan = planner.plan(context.loop().timeOfDay(), limits(start));
         Map<String, List<Planner.Placement>> own = ownPlacements(plan, start);
         withoutRoom.values().removeIf(w -> w.last().isBefore(start.minus(HELP_AFTER)));
+        boolean pressed = context.store().pressed();
         for (List<Planner.Placement> ofOneRecord : own.values()) {
+            if (pressed && isGathered(ofOneRecord, start)) {
+                continue;
+            }
             if (context.store().queued(StateStore.Urgency.CLAIM) >= MAX_WAITING_CLAIMS) {
                 // The queue keeps its order; the next round decides anew who is first.
                 break;
@@ -103,6 +115,7 @@
     /** A job is over. */
     void jobEnded(Job last) {
         failingJobs.jobEnded(last);
+        gatheringSince.remove(last.id());
     }
 
     /** This process has stood still: how long others have left records lying meanwhile is not known. */
@@ -114,7 +127,8 @@
     private Planner.Limits limits(Instant start) {
         Instant deadline = start.plus(planningBudget);
         return new Planner.Limits(
-                m -> fleet.usable(m, start),
+                start,
+                fleet::availability,
                 fleet::images,
                 fleet::condition,
                 job -> failingJobs.backsOff(job, start),
@@ -129,6 +143,23 @@
                 () -> context.loop().now().isAfter(deadline));
     }
 
+    /**
+     * Whether low work of a large job waits a moment, so that one claim takes more of a record: room comes back task by task,
+     * and a change for each would keep the service from more urgent work.
+     */
+    private boolean isGathered(List<Planner.Placement> ofOneRecord, Instant now) {
+        Job job = context.ledger().job(ofOneRecord.get(0).task().job());
+        if (job.spec().priority() != JobSpec.Priority.LOW || job.spec().tasks() <= LEAST_GATHERED) {
+            return false;
+        }
+        Instant since = gatheringSince.computeIfAbsent(job.id(), id -> now);
+        boolean waits = ofOneRecord.size() < LEAST_GATHERED && now.isBefore(since.plus(GATHER_LOW));
+        if (!waits) {
+            gatheringSince.remove(job.id());
+        }
+        return waits;
+    }
+
     /** Placements on our machines by record; what is planned for other owners is waited for. */
     private Map<String, List<Planner.Placement>> ownPlacements(Planner.Plan plan, Instant start) {
         Map<String, List<Planner.Placement>> own = new LinkedHashMap<>();
--- a/src/main/java/org/havenford/coordination/CloudInventory.java
+++ b/src/main/java/org/havenford/coordination/CloudInventory.java
@@ -34,6 +34,7 @@
     private static final Duration TYPES_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration LIST_EVERY = Duration.ofSeconds(3);
     private static final int PAGE = 500;
+    private static final Duration PAGE_RETRY = Duration.ofMillis(100);
     /** A listed machine without a record is adopted once it is older than the answer to any rental may be late. */
     private static final Duration ADOPTED_FROM = Duration.ofSeconds(10);
     /** How long what was seen of a machine in the list is remembered. */
@@ -129,7 +130,8 @@
     private void askPage(Instant asked, String after, Map<String, Listed> all) {
         String path = "/machines?limit=" + PAGE + (after.isEmpty() ? "" : "&since=" + after);
         if (!context.cloud().call("GET", path, null, reply -> pageAnswered(asked, after, all, reply))) {
-            listing = false;
+            // A long list takes more calls than may go out at once. Given up, it would never be read to its end.
+            context.loop().after(PAGE_RETRY, () -> askPage(asked, after, all));
         }
     }
 
--- a/src/main/java/org/havenford/coordination/Demand.java
+++ b/src/main/java/org/havenford/coordination/Demand.java
@@ -31,6 +31,9 @@
      */
     record TaskDemand(JobSpec spec, double tasks, boolean stuck, boolean needsAnother) {}
 
+    /** How many types a demand can be met with, counted once: there may be a thousand jobs. */
+    private record Choices(TaskDemand demand, int types) {}
+
     /** A job without a running task for this long after it came is stuck: what is there does not take it. */
     private static final Duration STUCK = Duration.ofSeconds(30);
 
@@ -221,22 +224,26 @@
             Predicate<Kind> exhausted,
             Map<Kind, Integer> have) {
         Object2DoubleOpenHashMap<Kind> out = new Object2DoubleOpenHashMap<>();
-        List<TaskDemand> sorted = new ArrayList<>(taskDemands);
+        List<Choices> sorted = new ArrayList<>();
         Set<String> onlyChoice = new HashSet<>();
         for (TaskDemand demand : taskDemands) {
-            List<MachineType> fit = types.values().stream()
-                    .filter(t -> allowed(demand.spec(), t, false))
+            if (demand.tasks() <= 0) {
+                continue;
+            }
+            List<String> fit = types.values().stream()
+                    .filter(type -> allowed(demand.spec(), type, false))
+                    .map(MachineType::name)
                     .toList();
             if (fit.size() == 1) {
-                onlyChoice.add(fit.get(0).name());
+                onlyChoice.add(fit.get(0));
             }
+            sorted.add(new Choices(demand, fit.size()));
         }
-        sorted.sort(Comparator.comparingLong((TaskDemand demand) -> types.values().stream()
-                        .filter(t -> allowed(demand.spec(), t, false))
-                        .count())
-                .thenComparing(demand -> demand.spec().id()));
+        sorted.sort(Comparator.comparingInt(Choices::types)
+                .thenComparing(choices -> choices.demand().spec().id()));
         boolean another = false;
-        for (TaskDemand demand : sorted) {
+        for (Choices choices : sorted) {
+            TaskDemand demand = choices.demand();
             JobSpec s = demand.spec();
             List<Kind> kinds = kindsByCost(s, types, onlyChoice);
             if (demand.needsAnother() && !another) {
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.havenford.bookkeeping.Claim;
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Ledger;
@@ -367,7 +368,9 @@
                 stops.checkLateness(machine, now);
                 stops.drain(machine, now);
                 health.judge(machine, onRecord, now);
-                changed.add(machine.name);
+                if (mayNeedCommands(machine)) {
+                    changed.add(machine.name);
+                }
             }
         }
         statusPublisher.publish(machines.values(), now);
@@ -377,6 +380,12 @@
         misdirected.forgetOld(now);
     }
 
+    /** A machine without tasks and claims needs no commands: of thousands most may be idle. */
+    private boolean mayNeedCommands(MachineState machine) {
+        boolean hasTasks = machine.report != null && !machine.report.tasks().isEmpty();
+        return hasTasks || !ledger.claimsOn(machine.name).isEmpty();
+    }
+
     private void endLeases(Instant now) {
         for (String name : ledger.claimedMachines()) {
             if (mine(name)) {
@@ -404,10 +413,17 @@
                 && Duration.between(lastSign, now).compareTo(REMEMBERED) > 0;
     }
 
-    /** Whether a machine can be given new tasks. */
-    public boolean usable(MachineRecord machine, Instant now) {
+    /**
+     * Tells at any time whether a machine can be given new tasks; of others' machines their owners know. It holds until the
+     * view or the machine's condition changes, so that a thousand machines need not be looked up in each round.
+     */
+    public Predicate<Instant> availability(MachineRecord machine) {
         MachineState state = machines.get(machine.name());
-        return state == null ? !mine(machine.name()) : health.usable(state, now);
+        if (state != null) {
+            return now -> health.usable(state, now);
+        }
+        boolean known = !mine(machine.name());
+        return now -> known;
     }
 
     /** Whether a task should not be tried again on a machine. */
--- a/src/main/java/org/havenford/coordination/FreeCapacity.java
+++ b/src/main/java/org/havenford/coordination/FreeCapacity.java
@@ -1,9 +1,11 @@
 package org.havenford.coordination;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.havenford.bookkeeping.Claim;
 import org.havenford.bookkeeping.MachineRecord;
 import org.havenford.protocol.JobSpec;
@@ -18,6 +20,7 @@
     /** Part of a fetch that is left, on average, when another task has begun it. */
     private static final double LEFT_OF_FETCH = 0.6;
 
+    private final Predicate<Instant> availability;
     final MachineRecord machine;
     final MachineType type;
     final Set<String> images;
@@ -31,7 +34,8 @@
     /** Work of this priority is about to take what room there is; it is not for lower work meanwhile. */
     JobSpec.Priority reservedFor;
 
-    FreeCapacity(MachineRecord machine, MachineType type, List<String> images) {
+    FreeCapacity(MachineRecord machine, MachineType type, List<String> images, Predicate<Instant> availability) {
+        this.availability = availability;
         this.machine = machine;
         this.type = type;
         this.images = Set.copyOf(images);
@@ -40,6 +44,11 @@
         mem = type.memGb();
     }
 
+    /** Whether the machine can be given new tasks at a steady time. */
+    boolean takesTasks(Instant now) {
+        return availability.test(now);
+    }
+
     boolean fits(JobSpec s) {
         return s.cpus() <= cpus + EPSILON && s.cards() <= cards + EPSILON && s.memGb() <= mem + EPSILON;
     }
--- a/src/main/java/org/havenford/coordination/JobEnds.java
+++ b/src/main/java/org/havenford/coordination/JobEnds.java
@@ -8,6 +8,7 @@
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.StateStore;
+import org.havenford.protocol.JobSpec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -66,10 +67,16 @@
             FinalState.Status status = done ? FinalState.Status.DONE : FinalState.Status.WITHDRAWN;
             onSuccess = addEnd(job, status, txn, locks);
         }
-        StateStore.Urgency urgency = ends ? StateStore.Urgency.CLAIM : StateStore.Urgency.WORK;
+        StateStore.Urgency urgency = ends ? urgency(job) : StateStore.Urgency.WORK;
         context.writer().commit(txn, urgency, locks, onSuccess);
     }
 
+    /** Users and pipelines wait for the end of a job; only that of low work stands behind the claims of other work. */
+    static StateStore.Urgency urgency(Job job) {
+        boolean low = job.spec().priority() == JobSpec.Priority.LOW;
+        return low ? StateStore.Urgency.WORK : StateStore.Urgency.CLAIM;
+    }
+
     /**
      * Adds the end of a job to a transaction that is guarded by its header, and returns what is to be done once it is
      * committed. Jobs that wait for nothing else are released by the same transaction, as far as its limit allows: they then
--- a/src/main/java/org/havenford/coordination/JobOrder.java
+++ b/src/main/java/org/havenford/coordination/JobOrder.java
@@ -27,11 +27,37 @@
     private static final Duration AFTER_ALL = Duration.ofMinutes(5);
     /** A job that has waited this long without a start goes first, whatever else there is. */
     private static final Duration STARVING = Duration.ofSeconds(90);
+    /** Starving jobs that go first at a time. */
+    private static final int MOST_STARVING = 8;
     /** Jobs without deadline and aim should start within this. */
     private static final Duration USUAL_WAIT = Duration.ofSeconds(120);
     /** The shortest run that is reckoned with, in seconds. */
     private static final double SHORTEST_RUN = 0.5;
 
+    /** What a job is ordered by, worked out once: there may be a thousand jobs. */
+    private record Ranked(
+            Job job,
+            boolean goesLast,
+            boolean starves,
+            boolean guaranteed,
+            JobSpec.Priority priority,
+            Instant latestStart) {
+        boolean isUrgent() {
+            boolean aboveNormal = priority.compareTo(JobSpec.Priority.NORMAL) < 0;
+            return !goesLast && (starves || guaranteed || aboveNormal);
+        }
+    }
+
+    private static final Comparator<Ranked> IN_ORDER = Comparator.comparing(Ranked::goesLast)
+            .thenComparing(ranked -> !ranked.starves())
+            .thenComparing(ranked -> !ranked.guaranteed())
+            .thenComparing(Ranked::priority)
+            .thenComparing(Ranked::latestStart)
+            .thenComparing(ranked -> ranked.job().id());
+
+    /** Jobs in the order in which they are served; the first {@code urgent} of them must not stand behind the others. */
+    record Queue(List<Job> jobs, int urgent) {}
+
     private final Ledger ledger;
     private final Settings settings;
     private final Inheritance inheritance;
@@ -63,7 +89,7 @@
     }
 
     /** Jobs with work left, the one to be served first at the front. */
-    List<Job> order(Instant now) {
+    Queue order(Instant now) {
         inheritance.refresh();
         List<Job> open = new ArrayList<>();
         for (Job job : ledger.jobs()) {
@@ -73,19 +99,49 @@
         }
         Set<String> guaranteed = guaranteed(open);
         open.removeIf(job -> job.pendingCount() == 0);
-        Map<String, Instant> latestStarts = new HashMap<>();
-        open.forEach(job -> latestStarts.put(job.id(), latestStart(job, now)));
-        open.sort(Comparator.comparing((Job job) -> FailingJobs.goesLast(job, now))
-                .thenComparing(job -> !starves(job, now))
-                .thenComparing(job -> !guaranteed.contains(job.id()))
-                .thenComparing(this::priority)
-                .thenComparing(job -> latestStarts.get(job.id()))
-                .thenComparing(Job::id));
-        return open;
+        Set<String> starving = starving(open, now);
+        List<Ranked> ranked = new ArrayList<>();
+        open.forEach(job -> ranked.add(rank(job, guaranteed, starving, now)));
+        ranked.sort(IN_ORDER);
+        int urgent = 0;
+        while (urgent < ranked.size() && ranked.get(urgent).isUrgent()) {
+            urgent++;
+        }
+        return new Queue(ranked.stream().map(Ranked::job).toList(), urgent);
+    }
+
+    /**
+     * Jobs that have waited too long without a start, and go first for it. Of many at once only those that have waited
+     * longest: hundreds of small jobs would keep urgent work from its turn for as long as they last.
+     */
+    private static Set<String> starving(List<Job> open, Instant now) {
+        List<Job> waited = new ArrayList<>();
+        for (Job job : open) {
+            if (starves(job, now)) {
+                waited.add(job);
+            }
+        }
+        waited.sort(Comparator.comparing(Job::released).thenComparing(Job::id));
+        Set<String> starving = new HashSet<>();
+        waited.stream().limit(MOST_STARVING).forEach(job -> starving.add(job.id()));
+        return starving;
+    }
+
+    private Ranked rank(Job job, Set<String> guaranteed, Set<String> starving, Instant now) {
+        return new Ranked(
+                job,
+                FailingJobs.goesLast(job, now),
+                starving.contains(job.id()),
+                guaranteed.contains(job.id()),
+                priority(job),
+                latestStart(job, now));
     }
 
     /** Jobs that fit into their team's guarantee together with the earlier unfinished jobs of the team. */
     private Set<String> guaranteed(List<Job> open) {
+        if (settings.teams().values().stream().noneMatch(team -> team.cpus() > 0)) {
+            return Set.of();
+        }
         List<Job> bySubmission = new ArrayList<>(open);
         bySubmission.sort(Comparator.comparing(Job::submitted).thenComparing(Job::id));
         Map<String, Amount> used = new HashMap<>();
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -40,12 +40,13 @@
     public record Plan(List<Placement> placements, List<Claim> preempted) {}
 
     /**
-     * What the planner is told besides the ledger: how machines are, tasks that have ended without a release, claims under
+     * What the planner is told besides the ledger: how machines are and whether they take tasks at a steady time, tasks that have ended without a release, claims under
      * way by machine, owners that have left a chunk lying, chunks that others than their first owner may take, and
      * whether claims get into each other's way so much that each chunk is left to its first owner where that has capacity.
      */
     public record Limits(
-            Predicate<MachineRecord> usable,
+            Instant steadyNow,
+            Function<MachineRecord, Predicate<Instant>> availability,
             Function<MachineRecord, List<String>> images,
             Function<MachineRecord, MachineRecord.Condition> condition,
             Predicate<Job> backsOff,
@@ -102,8 +103,10 @@
 
     private final Set<String> stale = new HashSet<>();
     private boolean allStale = true;
-    /** Job at which the last round ran out of time; the next one goes on there. */
-    private String resumeAt;
+    /** Urgent work is looked at first in each round, however much other work there is to go through. */
+    private final ResumePoint urgentResume = new ResumePoint();
+
+    private final ResumePoint resume = new ResumePoint();
 
     /** A planner over a replica; {@code owner} names the controller that owns a machine. */
     public Planner(Ledger ledger, Settings settings, Operator operator, UnaryOperator<String> owner) {
@@ -191,7 +194,8 @@
         if (type == null || limits.condition().apply(m) != MachineRecord.Condition.UP) {
             return null;
         }
-        FreeCapacity capacity = new FreeCapacity(m, type, limits.images().apply(m));
+        FreeCapacity capacity = new FreeCapacity(
+                m, type, limits.images().apply(m), limits.availability().apply(m));
         for (Claim c : ledger.claimsOn(name).values()) {
             Job j = ledger.job(c.task().job());
             // A task known to have ended leaves its capacity at once; its release is written with others, a moment
@@ -212,39 +216,57 @@
         if (capacities.isEmpty()) {
             return out;
         }
-        List<Job> jobs = order.order(now);
+        JobOrder.Queue queue = order.order(now);
+        List<Job> jobs = queue.jobs();
+        if (jobs.isEmpty()) {
+            return out;
+        }
         awaited = awaited(jobs);
         PlanningRound round = new PlanningRound(now, limits, open(limits), out);
-        boolean imagesKept = false;
-        int from = resumeFrom(jobs);
+        boolean allPlaced = placeAll(jobs.subList(0, queue.urgent()), jobs, urgentResume, round)
+                && placeAll(jobs.subList(queue.urgent(), jobs.size()), jobs, resume, round);
+        if (allPlaced && round.imagesKept) {
+            placeOnWhatIsLeft(jobs, round);
+        }
+        return out;
+    }
+
+    /**
+     * Places jobs in order, going on where the last round ran out of time; whether time was left for all. One job at least is
+     * placed.
+     */
+    private boolean placeAll(List<Job> jobs, List<Job> all, ResumePoint resumePoint, PlanningRound round) {
+        int from = resumePoint.indexIn(jobs);
         for (int k = 0; k < jobs.size(); k++) {
             Job job = jobs.get((from + k) % jobs.size());
-            if (k > 0 && limits.outOfTime().getAsBoolean()) {
-                resumeAt = job.id();
-                return out;
-            }
-            if (limits.backsOff().test(job)) {
-                continue;
+            if (k > 0 && round.limits.outOfTime().getAsBoolean()) {
+                resumePoint.set(job);
+                return false;
             }
-            boolean paced = isPaced(job);
-            if (paced && !imagesKept) {
-                imagesKept = true;
-                placeWhereImagesAre(jobs, round);
+            if (!round.limits.backsOff().test(job)) {
+                placeInTime(job, all, round);
             }
-            int most = paced ? tasksInTime(job, now) - job.claimCount() - round.placed(job) : Integer.MAX_VALUE;
-            place(job, round, Machines.ALL, most);
         }
-        if (imagesKept) {
-            placeOnWhatIsLeft(jobs, round);
+        return true;
+    }
+
+    private void placeInTime(Job job, List<Job> all, PlanningRound round) {
+        int most = Integer.MAX_VALUE;
+        if (isPaced(job)) {
+            if (!round.imagesKept) {
+                round.imagesKept = true;
+                placeWhereImagesAre(all, round);
+            }
+            most = tasksInTime(job, round.now) - job.claimCount() - round.placed(job);
         }
-        return out;
+        place(job, round, Machines.ALL, most);
     }
 
     /** Machines with free capacity that take new tasks. */
     private List<FreeCapacity> open(Limits limits) {
         List<FreeCapacity> open = new ArrayList<>();
         for (FreeCapacity capacity : capacities.values()) {
-            if (capacity.cpus > FreeCapacity.EPSILON && limits.usable().test(capacity.machine)) {
+            if (capacity.cpus > FreeCapacity.EPSILON && capacity.takesTasks(limits.steadyNow())) {
                 capacity.reservedFor = null;
                 open.add(capacity);
             }
@@ -253,17 +275,23 @@
     }
 
     /** Where the last round ran out of time; the first job if it did not, or that job is over. */
-    private int resumeFrom(List<Job> jobs) {
-        int from = 0;
-        if (resumeAt != null) {
-            for (int i = 0; i < jobs.size(); i++) {
-                if (jobs.get(i).id().equals(resumeAt)) {
+    private static final class ResumePoint {
+        private String job;
+
+        void set(Job at) {
+            job = at.id();
+        }
+
+        int indexIn(List<Job> jobs) {
+            int from = 0;
+            for (int i = 0; job != null && i < jobs.size(); i++) {
+                if (jobs.get(i).id().equals(job)) {
                     from = i;
                 }
             }
-            resumeAt = null;
+            job = null;
+            return from;
         }
-        return from;
     }
 
     /** Paced jobs keep the machines that have their images, as far as they need them for their deadlines. */
@@ -419,10 +447,17 @@
                 !round.now.isBefore(order.latestStart(job, round.now).minus(Preemption.PRESSING_BEFORE))
                         || !round.now.isBefore(job.released().plus(PATIENCE));
         Map<String, List<Offer>> offers = new TreeMap<>();
+        if (round.fitsNowhere(s)) {
+            return offers;
+        }
+        boolean anyFits = false;
         for (FreeCapacity capacity : round.open) {
             MachineRecord m = capacity.machine;
-            if (!capacity.fits(s)
-                    || !PlacementRules.task(s, capacity.type, m.zone(), m.spot(), zones)
+            if (!capacity.fits(s)) {
+                continue;
+            }
+            anyFits = true;
+            if (!PlacementRules.task(s, capacity.type, m.zone(), m.spot(), zones)
                             .allowed()
                     || onlyZone != null && !onlyZone.equals(m.zone())
                     || capacity.reservedFor != null && capacity.reservedFor.compareTo(priority(job)) < 0
@@ -437,6 +472,9 @@
             offers.computeIfAbsent(owner.apply(m.name()), o -> new ArrayList<>())
                     .add(new Offer(score, capacity));
         }
+        if (!anyFits) {
+            round.noteFitsNowhere(s);
+        }
         for (List<Offer> l : offers.values()) {
             l.sort(Comparator.comparingDouble(Offer::score)
                     .thenComparing(o -> o.capacity().machine.name()));
--- a/src/main/java/org/havenford/coordination/PlanningRound.java
+++ b/src/main/java/org/havenford/coordination/PlanningRound.java
@@ -1,6 +1,7 @@
 package org.havenford.coordination;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -30,6 +31,12 @@
     /** Of jobs that stay together or apart: their claims, and what any pass of this round has placed. */
     final Map<String, TaskZones> zones = new HashMap<>();
 
+    /** Whether paced jobs have been given the machines that have their images. */
+    boolean imagesKept;
+
+    /** Amounts that no machine had room for: what is as large finds none either, since room only shrinks. */
+    private final List<JobSpec> fitNowhere = new ArrayList<>();
+
     final Map<JobSpec.Priority, List<Preemption.Stoppable>> stoppable = new EnumMap<>(JobSpec.Priority.class);
 
     PlanningRound(Instant now, Planner.Limits limits, List<FreeCapacity> open, Planner.Plan out) {
@@ -49,6 +56,21 @@
                 : ANYWHERE;
     }
 
+    /** No machine has room for a task of this size. */
+    void noteFitsNowhere(JobSpec spec) {
+        fitNowhere.add(spec);
+    }
+
+    /** Whether a task that is no larger has found no room in this round. */
+    boolean fitsNowhere(JobSpec spec) {
+        for (JobSpec other : fitNowhere) {
+            if (spec.cpus() >= other.cpus() && spec.cards() >= other.cards() && spec.memGb() >= other.memGb()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     int placed(Job job) {
         return taken.getOrDefault(job.id(), Set.of()).size();
     }
--- a/src/main/java/org/havenford/coordination/Preemption.java
+++ b/src/main/java/org/havenford/coordination/Preemption.java
@@ -110,7 +110,7 @@
                     young.add(c);
                 }
             }
-            if (young != null && round.limits.usable().test(capacity.machine)) {
+            if (young != null && capacity.takesTasks(round.limits.steadyNow())) {
                 young.sort(Comparator.comparing(Claim::at).reversed().thenComparing(Claim::task));
                 out.add(new Stoppable(capacity, young));
             }
@@ -144,14 +144,21 @@
         return enough && !victims.isEmpty() ? new Victims(capacity, victims, loss) : null;
     }
 
+    /** Low work that saves its progress when it is stopped loses little, however long it has run. */
+    private boolean savesLowWork(Job job) {
+        return order.priority(job) == JobSpec.Priority.LOW
+                && !job.spec().checkpoint().isZero();
+    }
+
     private boolean spare(Claim c, JobSpec.Priority than, Instant now) {
-        if (c.at().plus(MOST_LOST).isBefore(now)) {
-            return false;
-        }
         Job j = ledger.job(c.task().job());
         if (j == null || j.cancelled() || order.priority(j).compareTo(than) <= 0) {
             return false;
         }
+        boolean losesMuch = c.at().plus(MOST_LOST).isBefore(now);
+        if (losesMuch && !savesLowWork(j)) {
+            return false;
+        }
         Instant due = order.due(j);
         return due == null
                 || now.plus(AGAIN)
--- a/src/main/java/org/havenford/coordination/TaskReleases.java
+++ b/src/main/java/org/havenford/coordination/TaskReleases.java
@@ -14,6 +14,7 @@
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.StateStore;
+import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.TaskId;
 
 /**
@@ -24,6 +25,8 @@
     private static final Duration GATHER = Duration.ofMillis(500);
     private static final Duration GATHER_PRESSED = Duration.ofSeconds(4);
     private static final Duration GATHER_SCARCE = Duration.ofSeconds(8);
+    /** Times as long that the ends of low work are gathered under pressure. */
+    private static final int LOW_WAITS = 2;
 
     private final SchedulingContext context;
     private final Fleet fleet;
@@ -45,12 +48,12 @@
             return;
         }
         Map<String, Map<Claim, Ending>> byChunk = byChunk();
-        Duration gather = context.store().pressed() ? gatherPressed : GATHER;
+        boolean pressed = context.store().pressed();
         Instant now = context.loop().now();
         byChunk.forEach((key, ended) -> {
             if (!context.writer().isLocked(key)) {
                 Instant since = gathering.computeIfAbsent(key, k -> now);
-                if (now.isAfter(since.plus(gather)) || urgent(ended)) {
+                if (now.isAfter(since.plus(gather(ended, pressed))) || urgent(ended)) {
                     write(key, ended);
                 }
             }
@@ -58,6 +61,14 @@
         gathering.keySet().retainAll(byChunk.keySet());
     }
 
+    private Duration gather(Map<Claim, Ending> ended, boolean pressed) {
+        if (!pressed) {
+            return GATHER;
+        }
+        boolean low = jobOf(ended).spec().priority() == JobSpec.Priority.LOW;
+        return low ? gatherPressed.multipliedBy(LOW_WAITS) : gatherPressed;
+    }
+
     private Map<String, Map<Claim, Ending>> byChunk() {
         Map<String, Map<Claim, Ending>> byChunk = new LinkedHashMap<>();
         fleet.endings().forEach((claim, ending) -> {
@@ -123,7 +134,7 @@
         }
         // Users and pipelines wait for the end of a job; it must not stand behind all claims.
         boolean last = job.pendingCount() == 0 && job.claimCount() == ended.size();
-        StateStore.Urgency urgency = last ? StateStore.Urgency.CLAIM : StateStore.Urgency.WORK;
+        StateStore.Urgency urgency = last ? JobEnds.urgency(job) : StateStore.Urgency.WORK;
         Runnable afterEnd = onEnd;
         context.writer().commit(txn, urgency, locks, () -> {
             ended.keySet().forEach(fleet.endings()::remove);
--- a/src/test/java/org/havenford/coordination/FailingJobsTest.java
+++ b/src/test/java/org/havenford/coordination/FailingJobsTest.java
@@ -72,8 +72,9 @@
         JobOrder order = new JobOrder(ledger, Settings.parse(SETTINGS));
         int first = 0;
         for (int second = 0; second < 60; second++) {
-            List<String> ids =
-                    order.order(NOW.plusSeconds(second)).stream().map(Job::id).toList();
+            List<String> ids = order.order(NOW.plusSeconds(second)).jobs().stream()
+                    .map(Job::id)
+                    .toList();
             first += ids.get(0).equals("j-1") ? 1 : 0;
         }
         assertTrue(first > 0 && first <= 6, "first in " + first + " of 60 seconds");
--- a/src/test/java/org/havenford/coordination/PipelineDecisionsTest.java
+++ b/src/test/java/org/havenford/coordination/PipelineDecisionsTest.java
@@ -61,7 +61,7 @@
 
     private List<String> order(Instant now) throws Exception {
         JobOrder order = new JobOrder(ledger, Settings.parse(SETTINGS));
-        return order.order(now).stream().map(Job::id).toList();
+        return order.order(now).jobs().stream().map(Job::id).toList();
     }
 
     /** A waiting job of the same team, submitted earlier, would use up the guarantee of 8 CPUs. */
--- a/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
+++ b/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
@@ -92,7 +92,8 @@
         return planner.plan(
                 NOW,
                 new Planner.Limits(
-                        m -> true,
+                        NOW,
+                        m -> now -> true,
                         m -> images.get(m.name()),
                         m -> MachineRecord.Condition.UP,
                         j -> false,
--- a/src/test/java/org/havenford/world/Cloud.java
+++ b/src/test/java/org/havenford/world/Cloud.java
@@ -9,10 +9,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.havenford.transport.HttpCalls.Reply;
 
@@ -24,7 +24,7 @@
 
     private final World world;
     private final Map<String, List<String>> bookings = new HashMap<>();
-    private final Map<String, JsonObject> listed = new LinkedHashMap<>();
+    private final TreeMap<String, JsonObject> listed = new TreeMap<>();
     final Set<String> gone = new HashSet<>();
     /** When each was returned. */
     final Map<String, Instant> returned = new HashMap<>();
@@ -120,15 +120,30 @@
             }
             answer.accept(new Reply(200, "{}"));
         } else {
-            JsonArray boxes = new JsonArray();
-            listed.values().forEach(boxes::add);
-            JsonObject o = new JsonObject();
-            o.add("boxes", boxes);
-            o.addProperty("truncated", false);
-            answer.accept(new Reply(200, o.toString()));
+            answer.accept(list(path));
         }
     }
 
+    /** A page of the list, in the order of the machines' names. */
+    private Reply list(String path) {
+        String since = path.contains("since=") ? path.replaceFirst(".*since=([^&]*).*", "$1") : "";
+        int limit = Integer.parseInt(path.replaceFirst(".*limit=([0-9]+).*", "$1"));
+        JsonArray boxes = new JsonArray();
+        boolean truncated = false;
+        for (Map.Entry<String, JsonObject> machine :
+                listed.tailMap(since, false).entrySet()) {
+            truncated = boxes.size() == limit;
+            if (truncated) {
+                break;
+            }
+            boxes.add(machine.getValue());
+        }
+        JsonObject o = new JsonObject();
+        o.add("boxes", boxes);
+        o.addProperty("truncated", truncated);
+        return new Reply(200, o.toString());
+    }
+
     private Reply rent(JsonObject o) {
         String booking = o.get("booking").getAsString();
         List<String> names = bookings.get(booking);
--- a/src/test/java/org/havenford/world/GrownTest.java
+++ b/src/test/java/org/havenford/world/GrownTest.java
@@ -63,6 +63,40 @@
         assertTrue(counts.waited < 10, counts::toString);
     }
 
+    /**
+     * A list of machines takes more pages than calls may go out at once. It is read to its end all the same: a machine that is
+     * gone is noticed sooner than by its silence alone.
+     */
+    @Test
+    void aLongListOfMachinesIsReadToItsEnd() {
+        String team = "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0}";
+        String workers = "{\"report_s\":4,\"lease_s\":60,\"cancel_s\":90}";
+        String state = "{\"rps\":500,\"write_rps\":250,\"value_kb\":8,\"txn_ops\":12}";
+        World world = new World(17, Trace.settings(0, 1, team, workers, state));
+        world.addNode(Trace.settings(0, 1, team, workers, state));
+        for (int i = 0; i < 4000; i++) {
+            world.cloud.boot("small", List.of("a", "b", "c").get(i % 3), false, Duration.ofMillis(100 + i));
+        }
+        world.runUntil(30);
+        world.cloud.take("host-003333");
+        world.runUntil(75);
+        assertTrue(!world.store.holds("live/machine/", "host-003333"), "the machine is off the record");
+    }
+
+    /** The largest deployment, on three controllers: plain work and a burst. */
+    @Test
+    void fourThousandMachinesOnThree() {
+        String team = "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0}";
+        String workers = "{\"report_s\":4,\"lease_s\":26,\"cancel_s\":46}";
+        String state = "{\"rps\":500,\"write_rps\":250,\"value_kb\":8,\"txn_ops\":12}";
+        World world = new World(16, Trace.settings(0, 3, team, workers, state));
+        for (int i = 0; i < 3; i++) {
+            world.addNode(Trace.settings(i, 3, team, workers, state));
+        }
+        Counts counts = day(world, 4000, 60, 40, 120, List.of("red"));
+        assertTrue(counts.waited < 10, counts::toString);
+    }
+
     /** What a day asked of the state service, and the longest wait for a first start. */
     private record Counts(int tasks, int requests, int changes, int conflicts, int refused, double waited) {}
 
--- a/src/test/java/org/havenford/world/Store.java
+++ b/src/test/java/org/havenford/world/Store.java
@@ -87,6 +87,13 @@
         this.writeRps = world.template.stateWriteRps();
     }
 
+    /** Whether a text stands in any value of the keys with a prefix. */
+    boolean holds(String prefix, String text) {
+        return values.entrySet().stream()
+                .anyMatch(e -> e.getKey().startsWith(prefix)
+                        && value(e.getKey()).toString().contains(text));
+    }
+
     JsonElement value(String key) {
         Value v = values.get(key);
         return v == null ? null : v.v;
--- a/src/test/java/org/havenford/world/Users.java
+++ b/src/test/java/org/havenford/world/Users.java
@@ -106,7 +106,7 @@
             j.zone = o.startsWith("zone=") ? o.substring(5) : j.zone;
             j.types = o.startsWith("types=") ? Set.of(o.substring(6).split(",")) : j.types;
             j.imageGb = o.startsWith("image-gb=") ? Double.parseDouble(o.substring(9)) : j.imageGb;
-            j.urgency = o.equals("urgent") ? o : j.urgency;
+            j.urgency = o.equals("urgent") || o.equals("low") ? o : j.urgency;
             if (o.startsWith("awaits=")) {
                 j.awaits.addAll(List.of(o.substring(7).split(",")));
             }
