--- a/src/main/java/org/havenford/coordination/AttemptEndings.java
+++ b/src/main/java/org/havenford/coordination/AttemptEndings.java
@@ -1,47 +1,130 @@
 package org.havenford.coordination;
 
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.havenford.bookkeeping.Claim;
+import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Ledger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Attempts that ended and whose claims are still in the store. By claim, not by task: an end must never be taken for that
- * of a later attempt.
+ * Attempts that ended and whose claims are still in the store, gathered by the record that holds the claim. By claim, not by
+ * task: an end must never be taken for that of a later attempt.
  */
 final class AttemptEndings {
     private static final Logger LOG = LoggerFactory.getLogger(AttemptEndings.class);
 
-    private final Map<Claim, Ending> endings = new LinkedHashMap<>();
+    /** Ends that are to be written into one record of tasks. */
+    static final class EndedRecord {
+        private final String key;
+        private final Job job;
+        private final Map<Claim, Ending> ended = new LinkedHashMap<>();
+        /** Since when ends are gathered; null before the first look at a record that nothing else is written into. */
+        private Instant gatheredSince;
+
+        /** When it was last looked at whether the ends should be written; null after a change. */
+        private Instant lookedAt;
+
+        private EndedRecord(String key, Job job) {
+            this.key = key;
+            this.job = job;
+        }
+
+        String key() {
+            return key;
+        }
+
+        /** The job as it was when the first end was seen: its description does not change. */
+        Job job() {
+            return job;
+        }
+
+        Map<Claim, Ending> ended() {
+            return ended;
+        }
+
+        /**
+         * Since when ends are gathered: from now on if this is the first look. Counted from the end itself, what ends while a
+         * claim of the record is written would at once be written after it, in the way of the next claim.
+         */
+        Instant gatheredSince(Instant now) {
+            gatheredSince = gatheredSince == null ? now : gatheredSince;
+            return gatheredSince;
+        }
+
+        Instant lookedAt() {
+            return lookedAt;
+        }
+
+        void lookedAt(Instant now) {
+            lookedAt = now;
+        }
+    }
+
+    private final Ledger ledger;
     private final Consumer<String> changed;
+    private final Map<Claim, EndedRecord> recordOf = new HashMap<>();
+    private final Map<String, EndedRecord> records = new LinkedHashMap<>();
 
     /** {@code changed} is told of machines on which an attempt has ended. */
-    AttemptEndings(Consumer<String> changed) {
+    AttemptEndings(Ledger ledger, Consumer<String> changed) {
+        this.ledger = ledger;
         this.changed = changed;
     }
 
     /** Notes the end of an attempt; the first end counts. */
     void end(Claim claim, Ending ending) {
-        if (endings.putIfAbsent(claim, ending) == null) {
-            changed.accept(claim.machine());
-            LOG.debug("{} attempt {} on {} ended: {}", claim.task(), claim.attempt(), claim.machine(), ending);
+        Job job = ledger.job(claim.task().job());
+        if (job == null || recordOf.containsKey(claim)) {
+            return;
         }
+        String key = Keys.tasks(job.id(), job.chunkOf(claim.task().index()));
+        EndedRecord ended = records.computeIfAbsent(key, k -> new EndedRecord(k, job));
+        ended.ended.put(claim, ending);
+        ended.lookedAt = null;
+        recordOf.put(claim, ended);
+        changed.accept(claim.machine());
+        LOG.debug("{} attempt {} on {} ended: {}", claim.task(), claim.attempt(), claim.machine(), ending);
     }
 
     boolean contains(Claim claim) {
-        return endings.containsKey(claim);
+        return recordOf.containsKey(claim);
+    }
+
+    /** How an attempt ended, or null. */
+    Ending of(Claim claim) {
+        EndedRecord ended = recordOf.get(claim);
+        return ended == null ? null : ended.ended.get(claim);
+    }
+
+    /** The ends of some claims are in the store, or the claims are no longer held. */
+    void remove(Collection<Claim> claims) {
+        for (Claim claim : List.copyOf(claims)) {
+            EndedRecord ended = recordOf.remove(claim);
+            if (ended != null) {
+                ended.ended.remove(claim);
+                if (ended.ended.isEmpty()) {
+                    records.remove(ended.key);
+                }
+            }
+        }
     }
 
     /** Forgets the ends of claims that are no longer held. */
     void keepOnly(Predicate<Claim> held) {
-        endings.keySet().removeIf(held.negate());
+        remove(recordOf.keySet().stream().filter(held.negate()).toList());
     }
 
-    /** All ends, by claim. */
-    Map<Claim, Ending> all() {
-        return endings;
+    /** Records with ends to be written, in the order in which the first end of each was seen. */
+    List<EndedRecord> records() {
+        return List.copyOf(records.values());
     }
 }
--- a/src/main/java/org/havenford/coordination/Claims.java
+++ b/src/main/java/org/havenford/coordination/Claims.java
@@ -35,17 +35,17 @@
     /** Under pressure room is gathered, so that one claim takes several tasks of a record. */
     private static final Duration PLAN_EVERY_UNDER_PRESSURE = Duration.ofMillis(500);
 
+    /** Tasks of a large job of low priority that one claim takes under pressure, or else after a while. */
+    private static final int LEAST_GATHERED = 12;
+
+    private static final Duration GATHER_LOW = Duration.ofSeconds(3);
+
     /** A transaction allows this many conditions a change. */
     private static final int CONDITIONS_PER_CHANGE = 4;
     /** Conditions on the view, the job, its record and the team's shares, and some to spare. */
     private static final int OTHER_CONDITIONS = 6;
 
     /** First and last time that a record's first owner was seen without room, in a row. */
-    /** Tasks of a large job of low priority that one claim takes under pressure, or else after a while. */
-    private static final int LEAST_GATHERED = 12;
-
-    private static final Duration GATHER_LOW = Duration.ofSeconds(3);
-
     private record WithoutRoom(Instant first, Instant last) {}
 
     /** A record whose tasks are planned for machines of another owner. */
@@ -133,7 +133,7 @@
                 fleet::condition,
                 job -> failingJobs.backsOff(job, start),
                 p -> fleet.avoided(p.task(), p.machine()),
-                fleet.endings()::containsKey,
+                fleet.endings()::contains,
                 m -> underWay.getOrDefault(m, List.of()),
                 List.copyOf(context.membership().view().active()),
                 (key, owner) ->
@@ -281,7 +281,7 @@
         int index = draft.index;
         draft.chunk = draft.job.chunk(index).copy();
         for (Claim c : draft.job.chunk(index).claims()) {
-            Ending ending = fleet.endings().get(c);
+            Ending ending = fleet.endings().of(c);
             if (ending != null) {
                 draft.ended.put(c, ending);
             }
@@ -319,7 +319,7 @@
         claimedMachines.forEach(
                 name -> underWay.computeIfAbsent(name, n -> new ArrayList<>()).add(spec));
         Runnable onSuccess = () -> {
-            draft.ended.keySet().forEach(fleet.endings()::remove);
+            fleet.endings().remove(draft.ended.keySet());
             context.loop().after(Duration.ZERO, () -> draft.machines.forEach(fleet::push));
             if (draft.firstAfterRelease) {
                 context.pipelineMetrics()
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -5,7 +5,6 @@
 import java.time.Instant;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -81,7 +80,7 @@
         this.replica = replica;
         this.membership = membership;
         this.wake = wake;
-        endings = new AttemptEndings(capacityChanged);
+        endings = new AttemptEndings(ledger, capacityChanged);
         evidence = new FaultEvidence(ledger);
         health = new MachineHealth(settings, evidence, capacityChanged);
         CachedImages images = new CachedImages(ledger, capacityChanged);
@@ -125,8 +124,8 @@
     }
 
     /** Attempts that ended and whose claims are still in the store. */
-    public Map<Claim, Ending> endings() {
-        return endings.all();
+    AttemptEndings endings() {
+        return endings;
     }
 
     // ---- ownership
--- a/src/main/java/org/havenford/coordination/FreeCapacity.java
+++ b/src/main/java/org/havenford/coordination/FreeCapacity.java
@@ -23,6 +23,9 @@
     private final Predicate<Instant> availability;
     final MachineRecord machine;
     final MachineType type;
+    /** The controller that may claim here. */
+    final String owner;
+
     final Set<String> images;
     final List<Claim> claims = new ArrayList<>();
     /** Images that claims on this machine may still be fetching. */
@@ -34,7 +37,13 @@
     /** Work of this priority is about to take what room there is; it is not for lower work meanwhile. */
     JobSpec.Priority reservedFor;
 
-    FreeCapacity(MachineRecord machine, MachineType type, List<String> images, Predicate<Instant> availability) {
+    FreeCapacity(
+            MachineRecord machine,
+            MachineType type,
+            String owner,
+            List<String> images,
+            Predicate<Instant> availability) {
+        this.owner = owner;
         this.availability = availability;
         this.machine = machine;
         this.type = type;
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -62,6 +63,9 @@
     /** A capacity that takes tasks of the job at hand, and what the next task costs there. */
     private record Offer(double score, FreeCapacity capacity) {}
 
+    private static final Comparator<Offer> BEST_FIRST = Comparator.comparingDouble(Offer::score)
+            .thenComparing(offer -> offer.capacity().machine.name());
+
     /** Seconds of fetching that it is worth to leave a large machine to those tasks that need one. */
     private static final double LARGER_THAN_NEEDED = 2;
     /** The same while such tasks are waiting. */
@@ -195,7 +199,11 @@
             return null;
         }
         FreeCapacity capacity = new FreeCapacity(
-                m, type, limits.images().apply(m), limits.availability().apply(m));
+                m,
+                type,
+                owner.apply(name),
+                limits.images().apply(m),
+                limits.availability().apply(m));
         for (Claim c : ledger.claimsOn(name).values()) {
             Job j = ledger.job(c.task().job());
             // A task known to have ended leaves its capacity at once; its release is written with others, a moment
@@ -469,15 +477,19 @@
                     + (capacity.cpus - s.cpus()) / capacity.type.cpus()
                     + largePenalty(capacity.type, smallest)
                     + kindPenalty(s, m);
-            offers.computeIfAbsent(owner.apply(m.name()), o -> new ArrayList<>())
-                    .add(new Offer(score, capacity));
+            offers.computeIfAbsent(capacity.owner, o -> new ArrayList<>()).add(new Offer(score, capacity));
         }
         if (!anyFits) {
             round.noteFitsNowhere(s);
         }
-        for (List<Offer> l : offers.values()) {
-            l.sort(Comparator.comparingDouble(Offer::score)
-                    .thenComparing(o -> o.capacity().machine.name()));
+        boolean single = job.pendingCount() == 1;
+        for (List<Offer> ofOwner : offers.values()) {
+            if (single) {
+                // Hundreds of jobs of one task need no order among all machines.
+                Collections.swap(ofOwner, 0, ofOwner.indexOf(Collections.min(ofOwner, BEST_FIRST)));
+            } else {
+                ofOwner.sort(BEST_FIRST);
+            }
         }
         return offers;
     }
--- a/src/main/java/org/havenford/coordination/TaskReleases.java
+++ b/src/main/java/org/havenford/coordination/TaskReleases.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,8 +13,8 @@
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.StateStore;
+import org.havenford.coordination.AttemptEndings.EndedRecord;
 import org.havenford.protocol.JobSpec;
-import org.havenford.protocol.TaskId;
 
 /**
  * Writes the ends of attempts, gathered by record, so that tasks of a job that end one after the other do not cost a change
@@ -32,8 +31,6 @@
     private final Fleet fleet;
     private final JobEnds jobEnds;
     private final Duration gatherPressed;
-    /** Records with ends to be written, and since when. */
-    private final Map<String, Instant> gathering = new HashMap<>();
 
     TaskReleases(SchedulingContext context, Fleet fleet, JobEnds jobEnds) {
         this.context = context;
@@ -44,42 +41,44 @@
 
     /** Writes the records that were gathered for long enough, or that somebody waits for. */
     void step() {
-        if (fleet.endings().isEmpty()) {
-            return;
-        }
-        Map<String, Map<Claim, Ending>> byChunk = byChunk();
         boolean pressed = context.store().pressed();
         Instant now = context.loop().now();
-        byChunk.forEach((key, ended) -> {
-            if (!context.writer().isLocked(key)) {
-                Instant since = gathering.computeIfAbsent(key, k -> now);
-                if (now.isAfter(since.plus(gather(ended, pressed))) || urgent(ended)) {
-                    write(key, ended);
-                }
+        for (EndedRecord ended : fleet.endings().records()) {
+            if (!context.writer().isLocked(ended.key())) {
+                step(ended, pressed, now);
             }
-        });
-        gathering.keySet().retainAll(byChunk.keySet());
+        }
+    }
+
+    private void step(EndedRecord ended, boolean pressed, Instant now) {
+        boolean due = now.isAfter(ended.gatheredSince(now).plus(gather(ended, pressed)));
+        boolean look = ended.lookedAt() == null || now.isAfter(ended.lookedAt().plus(GATHER));
+        if (!due && !look) {
+            return;
+        }
+        fleet.endings().remove(noLongerHeld(ended));
+        if (!ended.ended().isEmpty() && (due || isAwaited(ended.ended()))) {
+            // Should it fail, it is decided anew as soon as the record is no longer locked.
+            write(ended.key(), ended.ended());
+        } else {
+            ended.lookedAt(now);
+        }
     }
 
-    private Duration gather(Map<Claim, Ending> ended, boolean pressed) {
+    private Duration gather(EndedRecord ended, boolean pressed) {
         if (!pressed) {
             return GATHER;
         }
-        boolean low = jobOf(ended).spec().priority() == JobSpec.Priority.LOW;
+        boolean low = ended.job().spec().priority() == JobSpec.Priority.LOW;
         return low ? gatherPressed.multipliedBy(LOW_WAITS) : gatherPressed;
     }
 
-    private Map<String, Map<Claim, Ending>> byChunk() {
-        Map<String, Map<Claim, Ending>> byChunk = new LinkedHashMap<>();
-        fleet.endings().forEach((claim, ending) -> {
-            TaskId task = claim.task();
-            Job job = context.ledger().job(task.job());
-            if (job != null && claim.equals(job.claim(task.index()))) {
-                String key = Keys.tasks(task.job(), job.chunkOf(task.index()));
-                byChunk.computeIfAbsent(key, k -> new LinkedHashMap<>()).put(claim, ending);
-            }
-        });
-        return byChunk;
+    private List<Claim> noLongerHeld(EndedRecord ended) {
+        Job job = context.ledger().job(ended.job().id());
+        return ended.ended().keySet().stream()
+                .filter(claim ->
+                        job == null || !claim.equals(job.claim(claim.task().index())))
+                .toList();
     }
 
     private Job jobOf(Map<Claim, Ending> ended) {
@@ -87,7 +86,7 @@
     }
 
     /** Ends that somebody waits for: the last of a job's tasks, and those that have to start again. */
-    private boolean urgent(Map<Claim, Ending> ended) {
+    private boolean isAwaited(Map<Claim, Ending> ended) {
         Job job = jobOf(ended);
         Chunk chunk =
                 job.stored(job.chunkOf(ended.keySet().iterator().next().task().index()));
@@ -108,7 +107,9 @@
         });
     }
 
-    private void write(String key, Map<Claim, Ending> ended) {
+    private void write(String key, Map<Claim, Ending> endedNow) {
+        // More of them may end while these are being written.
+        Map<Claim, Ending> ended = new LinkedHashMap<>(endedNow);
         Job job = jobOf(ended);
         int index = job.chunkOf(ended.keySet().iterator().next().task().index());
         Chunk next = job.stored(index).copy();
@@ -137,7 +138,7 @@
         StateStore.Urgency urgency = last ? JobEnds.urgency(job) : StateStore.Urgency.WORK;
         Runnable afterEnd = onEnd;
         context.writer().commit(txn, urgency, locks, () -> {
-            ended.keySet().forEach(fleet.endings()::remove);
+            fleet.endings().remove(ended.keySet());
             afterEnd.run();
         });
     }
--- a/src/test/java/org/havenford/world/DrawnDays.java
+++ b/src/test/java/org/havenford/world/DrawnDays.java
@@ -69,6 +69,45 @@
         return troubles(seed, nodes, 0);
     }
 
+    /** Troubles, and with them broken jobs, a guest's small jobs, questions as a storm, and machines that come late or never. */
+    static List<String> operations(long seed) {
+        SplittableRandom r = new SplittableRandom(seed + 7);
+        int nodes = new int[] {3, 5, 7}[r.nextInt(3)];
+        List<String> out = new ArrayList<>(troubles(seed, nodes, 0));
+        out.add("per-offer 6");
+        for (int i = 0; i < 3; i++) {
+            String id = "j-" + (300 + i);
+            out.add("at " + (5 + r.nextInt(60)) + " submit " + id + " blue " + (1 + r.nextInt(12)) + " 1 5 broken"
+                    + (r.nextBoolean() ? " urgent" : ""));
+            out.add("at " + (120 + r.nextInt(100)) + " cancel " + id);
+        }
+        int from = 10 + r.nextInt(60);
+        for (int i = 0; i < 20; i++) {
+            String id = "j-" + (400 + i);
+            out.add("at " + (from + i / 10.0) + " submit " + id + " blue 1 1 " + (3 + r.nextInt(20))
+                    + " low class=dust");
+            out.add("expect done " + id);
+        }
+        int storm = 10 + r.nextInt(60);
+        out.add("at " + storm + " polls-as-often 8");
+        out.add("at " + (storm + 40) + " polls-as-often 1");
+        int boots = 5 + r.nextInt(50);
+        out.add("at " + boots + (r.nextBoolean() ? " boots 1" : " boots 70"));
+        out.add("at " + (boots + 60) + " boots-usually");
+        String zone = zone(r);
+        out.add("at " + (5 + r.nextInt(40)) + " dark-zone " + zone);
+        out.add("at 90 lit-zone " + zone);
+        String still = "node-" + r.nextInt(nodes);
+        int freeze = 10 + r.nextInt(80);
+        out.add("at " + freeze + " freeze " + still);
+        out.add("at " + (freeze + 3 + r.nextInt(40)) + " thaw " + still);
+        String cut = "node-" + r.nextInt(nodes);
+        int reset = 10 + r.nextInt(60);
+        out.add("at " + reset + " reset-workers " + cut);
+        out.add("at " + (reset + 40) + " reach " + cut);
+        return out;
+    }
+
     private static List<String> troubles(long seed, int nodes, int pipelinesFrom) {
         SplittableRandom r = new SplittableRandom(seed);
         r.nextInt(4);
--- a/src/test/java/org/havenford/world/TraceTest.java
+++ b/src/test/java/org/havenford/world/TraceTest.java
@@ -120,6 +120,11 @@
         return DrawnDays.play(12, DrawnDays::troubles);
     }
 
+    @TestFactory
+    Stream<DynamicTest> randomTroublesOfOperations() {
+        return DrawnDays.play(12, DrawnDays::operations);
+    }
+
     /** The same while the controllers come back one by one with this version, whereupon the store's limits fall. */
     @TestFactory
     Stream<DynamicTest> randomTroublesAmidAnUpgrade() {
