Under pressure no more is planned than can be claimed

While calls wait for the state service, a controller claims a few records at a time; planning all jobs of one task anew in each round was in vain, and cost most of the processor time of a guest's burst.

--- a/src/main/java/org/havenford/coordination/Claims.java
+++ b/src/main/java/org/havenford/coordination/Claims.java
@@ -35,6 +35,9 @@
     /** Under pressure room is gathered, so that one claim takes several tasks of a record. */
     private static final Duration PLAN_EVERY_UNDER_PRESSURE = Duration.ofMillis(500);
 
+    /** Records that are planned for this controller under pressure: more than can be claimed until the next plan. */
+    private static final int MOST_RECORDS_UNDER_PRESSURE = 16;
+
     /** Tasks of a large job of low priority that one claim takes under pressure, or else after a while. */
     private static final int LEAST_GATHERED = 12;
 
@@ -140,6 +143,8 @@
                         waits.containsKey(key) && waits.get(key).passedOver.contains(owner),
                 key -> helped(key, start),
                 start.isBefore(crowdedUntil),
+                new Planner.ClaimQuota(
+                        context.node(), context.store().pressed() ? MOST_RECORDS_UNDER_PRESSURE : Integer.MAX_VALUE),
                 () -> context.loop().now().isAfter(deadline));
     }
 
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -58,8 +58,12 @@
             BiPredicate<String, String> passedOver,
             Predicate<String> helped,
             boolean crowded,
+            ClaimQuota claims,
             BooleanSupplier outOfTime) {}
 
+    /** How many records of tasks a controller can claim from now; what is planned for it beyond that would be in vain. */
+    public record ClaimQuota(String controller, int mostRecords) {}
+
     /** A capacity that takes tasks of the job at hand, and what the next task costs there. */
     private record Offer(double score, FreeCapacity capacity) {}
 
@@ -231,8 +235,11 @@
         }
         awaited = awaited(jobs);
         PlanningRound round = new PlanningRound(now, limits, open(limits), out);
-        boolean allPlaced = placeAll(jobs.subList(0, queue.urgent()), jobs, urgentResume, round)
-                && placeAll(jobs.subList(queue.urgent(), jobs.size()), jobs, resume, round);
+        BooleanSupplier urgentDone = limits.outOfTime();
+        BooleanSupplier done = () ->
+                urgentDone.getAsBoolean() || round.ownRecords >= limits.claims().mostRecords();
+        boolean allPlaced = placeAll(jobs.subList(0, queue.urgent()), jobs, urgentResume, round, urgentDone)
+                && placeAll(jobs.subList(queue.urgent(), jobs.size()), jobs, resume, round, done);
         if (allPlaced && round.imagesKept) {
             placeOnWhatIsLeft(jobs, round);
         }
@@ -240,14 +247,15 @@
     }
 
     /**
-     * Places jobs in order, going on where the last round ran out of time; whether time was left for all. One job at least is
-     * placed.
+     * Places jobs in order, going on where the last round was {@code done}; whether it was not done before all were placed. One
+     * job at least is placed.
      */
-    private boolean placeAll(List<Job> jobs, List<Job> all, ResumePoint resumePoint, PlanningRound round) {
+    private boolean placeAll(
+            List<Job> jobs, List<Job> all, ResumePoint resumePoint, PlanningRound round, BooleanSupplier done) {
         int from = resumePoint.indexIn(jobs);
         for (int k = 0; k < jobs.size(); k++) {
             Job job = jobs.get((from + k) % jobs.size());
-            if (k > 0 && round.limits.outOfTime().getAsBoolean()) {
+            if (k > 0 && done.getAsBoolean()) {
                 resumePoint.set(job);
                 return false;
             }
@@ -392,6 +400,8 @@
                 round.ownerOf.put(key, chosen);
                 placed = fill(chunk, pending, quota, s, offers.get(chosen), zones, round);
                 quota -= placed;
+                round.ownRecords +=
+                        placed > 0 && chosen.equals(round.limits.claims().controller()) ? 1 : 0;
             }
             unplaced += Math.min(quota, pending.size() - placed);
         }
--- a/src/main/java/org/havenford/coordination/PlanningRound.java
+++ b/src/main/java/org/havenford/coordination/PlanningRound.java
@@ -31,6 +31,9 @@
     /** Of jobs that stay together or apart: their claims, and what any pass of this round has placed. */
     final Map<String, TaskZones> zones = new HashMap<>();
 
+    /** Records of tasks of which some were placed on machines of this controller. */
+    int ownRecords;
+
     /** Whether paced jobs have been given the machines that have their images. */
     boolean imagesKept;
 
--- a/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
+++ b/src/test/java/org/havenford/coordination/PlannerPlacementTest.java
@@ -104,6 +104,7 @@
                         (key, owner) -> false,
                         key -> true,
                         false,
+                        new Planner.ClaimQuota("n", Integer.MAX_VALUE),
                         () -> false));
     }
 
