--- a/src/main/java/org/havenford/Main.java
+++ b/src/main/java/org/havenford/Main.java
@@ -10,9 +10,11 @@
 import org.havenford.coordination.Operator;
 import org.havenford.protocol.Json;
 import org.havenford.protocol.Settings;
+import org.havenford.standby.WarmStandby;
 import org.havenford.transport.HttpClient;
 import org.havenford.transport.HttpServer;
 import org.havenford.transport.XnioLoop;
+import org.havenford.transport.XnioPeerNetwork;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -172,6 +174,10 @@
                 Math.max(50, most - 2 * kept),
                 controller);
         server[0].start();
+        if (operator.standby().enabled() && !settings.peers().isEmpty()) {
+            XnioPeerNetwork peers = new XnioPeerNetwork(worker, loop);
+            new WarmStandby(controller.standbyHost(), peers, settings, operator.standby()).start();
+        }
         LoggerFactory.getLogger(Main.class).info("{} serves on {}", settings.node(), settings.bind());
         controller.start();
     }
--- a/src/main/java/org/havenford/bookkeeping/Keys.java
+++ b/src/main/java/org/havenford/bookkeeping/Keys.java
@@ -12,6 +12,7 @@
     public static final String MACHINE_STATUSES = "live/heard/";
     public static final String TEAMS = "live/team/";
     public static final String BOOKINGS = "live/booking/";
+    public static final String CHALLENGES = "live/challenge/";
     public static final String FINALS = "final/";
 
     private Keys() {}
@@ -47,6 +48,11 @@
         return MEMBERS + node;
     }
 
+    /** Key of the question to a suspected member whether it is alive. */
+    public static String challenge(String node) {
+        return CHALLENGES + node;
+    }
+
     /** Key of an intent to rent. */
     public static String booking(String name) {
         return BOOKINGS + name;
--- a/src/main/java/org/havenford/bookkeeping/Ledger.java
+++ b/src/main/java/org/havenford/bookkeeping/Ledger.java
@@ -61,6 +61,9 @@
         /** A member has registered; {@code member} is null when its registration is gone. */
         void memberChanged(String node, JsonObject member, long stamp);
 
+        /** A member is asked whether it is alive; {@code challenge} is null when the question is gone. */
+        void challengeChanged(String node, JsonObject challenge, long stamp);
+
         /** The claims on a machine, or its record, have changed, or what is wanted of them. */
         void machineChanged(String machine);
 
@@ -248,6 +251,8 @@
             }
         } else if (key.startsWith(Keys.MEMBERS)) {
             observer.memberChanged(key.substring(Keys.MEMBERS.length()), value, stamp);
+        } else if (key.startsWith(Keys.CHALLENGES)) {
+            observer.challengeChanged(key.substring(Keys.CHALLENGES.length()), value, stamp);
         } else if (key.equals(Keys.VIEW)) {
             observer.viewChanged(value, stamp);
         } else if (key.equals(Keys.TYPES) && value != null) {
--- a/src/main/java/org/havenford/bookkeeping/StateStore.java
+++ b/src/main/java/org/havenford/bookkeeping/StateStore.java
@@ -170,6 +170,15 @@
         }
     }
 
+    /** Told of every transaction that changes something, before it is sent and when its outcome is known. */
+    public interface CommitObserver {
+        /** A transaction is about to be sent; returns the number under which its outcome will be told. */
+        long committing(List<String> keys);
+
+        /** The outcome of a transaction; the edition is 0 unless it was committed. */
+        void finished(long number, Outcome outcome, long edition);
+    }
+
     private record Pending(
             Urgency urgency,
             Instant until,
@@ -191,6 +200,9 @@
     private final double leastShare;
     private final List<ArrayDeque<Pending>> queues = new ArrayList<>();
     private final long[] sent = new long[Urgency.values().length];
+    /** Null where nobody follows this controller. */
+    private CommitObserver commitObserver;
+
     private boolean pumping;
     private int sharers;
     /** Our share of the limits, in even shares. */
@@ -233,6 +245,11 @@
         }
     }
 
+    /** Has each change told to an observer. */
+    public void observeCommits(CommitObserver observer) {
+        commitObserver = observer;
+    }
+
     /** Divides the service's limits among the controllers that are alive. */
     public void share(int among) {
         sharers = Math.max(1, among);
@@ -355,7 +372,17 @@
      */
     public void commit(Txn txn, Urgency urgency, BooleanSupplier current, Consumer<Result> done) {
         Instant until = loop.now().plus(patience(urgency));
-        submit(new Pending(urgency, until, "POST", "/multi", txn.text(), txn.writes(), TIMEOUT, current, done));
+        Consumer<Result> told = commitObserver == null || txn.writes() == 0 ? done : observed(txn, done);
+        submit(new Pending(urgency, until, "POST", "/multi", txn.text(), txn.writes(), TIMEOUT, current, told));
+    }
+
+    private Consumer<Result> observed(Txn txn, Consumer<Result> done) {
+        CommitObserver observer = commitObserver;
+        long number = observer.committing(txn.keys());
+        return result -> {
+            observer.finished(number, result.outcome(), result.ok() ? result.edition() : 0);
+            done.accept(result);
+        };
     }
 
     /** Waits for changes of keys with a prefix after an edition. */
@@ -380,6 +407,11 @@
         submit(Urgency.LEASE, "POST", "/holds/" + permit + "/touch", null, 0, TIMEOUT, done);
     }
 
+    /** Ends a lease at once. */
+    public void endLease(long permit, Consumer<Result> done) {
+        submit(Urgency.LEASE, "DELETE", "/holds/" + permit, null, 0, TIMEOUT, done);
+    }
+
     private void submit(
             Urgency urgency,
             String method,
--- a/src/main/java/org/havenford/coordination/Controller.java
+++ b/src/main/java/org/havenford/coordination/Controller.java
@@ -48,6 +48,8 @@
     private final Scheduler scheduler;
     private final Provisioner provisioner;
     private final Users users;
+    private final Evictions evictions;
+    private final StandbyAccess standbyAccess;
     private final PipelineMetrics pipelineMetrics = new PipelineMetrics();
     private final Histogram answerMicros = new Histogram(60_000_000L, 2);
     private final Histogram lagMicros = new Histogram(60_000_000L, 2);
@@ -99,6 +101,9 @@
                 membership,
                 this::wake));
         users = new Users(context, pipelines, this::wake);
+        evictions = new Evictions(loop, store, replica, membership, settings.node());
+        standbyAccess =
+                new StandbyAccess(loop, pauses::eventBegins, store, replica, ledger, membership, evictions, fleet);
         ledger.observer(new Ledger.Observer() {
             @Override
             public void viewChanged(JsonObject view, long stamp) {
@@ -110,6 +115,11 @@
                 membership.memberChanged(node, member, stamp);
             }
 
+            @Override
+            public void challengeChanged(String node, JsonObject challenge, long stamp) {
+                evictions.challengeChanged(node, challenge, stamp);
+            }
+
             @Override
             public void machineChanged(String machine) {
                 fleet.machineChanged(machine);
@@ -161,9 +171,16 @@
         tick();
     }
 
+    /** What a standby in this process sees of the controller, and may ask of it. */
+    public StandbyHost standbyHost() {
+        return standbyAccess;
+    }
+
     private void viewChanged() {
         fleet.viewChanged();
         scheduler.allChanged();
+        evictions.viewChanged();
+        standbyAccess.viewChanged();
     }
 
     private void endsChanged(String machine) {
@@ -185,6 +202,7 @@
         fleet.stoodStill(pause);
         scheduler.stoodStill();
         provisioner.stoodStill();
+        standbyAccess.stoodStill();
     }
 
     private void tick() {
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/Evictions.java
@@ -0,0 +1,148 @@
+package org.havenford.coordination;
+
+import com.google.gson.JsonObject;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Replica;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.protocol.Json;
+import org.havenford.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes a member out of the view before its lease has ended. The state service is the witness: the member is asked through
+ * a key whether it is alive, and removes the key if it is; the eviction is guarded by the key's stamp, so it can't be
+ * committed once the member has answered.
+ */
+final class Evictions {
+    private static final Logger LOG = LoggerFactory.getLogger(Evictions.class);
+    /** Time until the same node may be evicted again; twice as long after each eviction that comes soon after. */
+    private static final Duration FIRST_INTERVAL = Duration.ofSeconds(30);
+
+    private static final Duration LONGEST_INTERVAL = Duration.ofMinutes(10);
+
+    /** A question older than this was left by a member that has ended, and may be asked anew by another. */
+    private static final Duration QUESTION_STANDS = Duration.ofSeconds(2);
+
+    /** When a node was last evicted, and how long it is spared. */
+    private record Record(Instant at, Duration interval) {}
+
+    private final EventLoop loop;
+    private final StateStore store;
+    private final Replica replica;
+    private final Membership membership;
+    private final String node;
+    private final Map<String, Record> records = new HashMap<>();
+    /** Evictions that were counted, so that a view that repeats one does not count it twice. */
+    private final Map<String, Long> counted = new HashMap<>();
+    /** Questions that stand, by the node that is asked, and when they were first seen here. */
+    private final Map<String, Instant> questions = new HashMap<>();
+
+    Evictions(EventLoop loop, StateStore store, Replica replica, Membership membership, String node) {
+        this.loop = loop;
+        this.store = store;
+        this.replica = replica;
+        this.membership = membership;
+        this.node = node;
+    }
+
+    /** The view has changed: every member counts the evictions that it names. */
+    void viewChanged() {
+        membership.view().evicted().forEach((name, incarnation) -> {
+            if (!incarnation.equals(counted.put(name, incarnation))) {
+                count(name);
+            }
+        });
+    }
+
+    private void count(String name) {
+        Instant now = loop.now();
+        Record before = records.get(name);
+        boolean soon = before != null && now.isBefore(before.at().plus(LONGEST_INTERVAL));
+        Duration doubled = soon ? before.interval().multipliedBy(2) : FIRST_INTERVAL;
+        records.put(name, new Record(now, doubled.compareTo(LONGEST_INTERVAL) > 0 ? LONGEST_INTERVAL : doubled));
+    }
+
+    /** Whether a member may be evicted now: it was not lately, and every member reads the mark of an eviction. */
+    boolean permitted(String name) {
+        Record record = records.get(name);
+        boolean spared = record != null && loop.now().isBefore(record.at().plus(record.interval()));
+        return !spared && membership.entitled() && membership.allReadEvictions();
+    }
+
+    /** Asks a member through the state service whether it is alive; tells the stamp of the question, 0 if it failed. */
+    void challenge(String name, long incarnation, LongConsumer asked) {
+        Instant since = questions.get(name);
+        if (since != null && loop.now().isBefore(since.plus(QUESTION_STANDS))) {
+            // Another member's question would be replaced, and its eviction would fail: two would only hinder each
+            // other.
+            // standby-two-conductors.trace
+            asked.accept(0);
+            return;
+        }
+        String key = Keys.challenge(name);
+        JsonObject value = new JsonObject();
+        value.addProperty("by", node);
+        value.addProperty("incarnation", incarnation);
+        StateStore.Txn txn = new StateStore.Txn()
+                .guard(Keys.VIEW, membership.viewStamp())
+                .guard(key, replica.stamp(key))
+                .set(key, value);
+        store.commit(txn, StateStore.Urgency.LEASE, result -> {
+            if (result.ok()) {
+                replica.committed(txn, result.edition());
+            }
+            asked.accept(result.ok() ? result.edition() : 0);
+        });
+    }
+
+    /** Takes a question back. */
+    void withdraw(String name, long stamp) {
+        remove(Keys.challenge(name), stamp);
+    }
+
+    /** Evicts a member that did not answer the question with this stamp; tells whether the view without it was committed. */
+    void evict(String name, long incarnation, long challengeStamp, Consumer<Boolean> done) {
+        membership.evict(name, incarnation, challengeStamp, committed -> {
+            if (committed) {
+                // A late copy of its registration then finds no lease to attach to.
+                store.endLease(incarnation, result -> {});
+            }
+            done.accept(committed);
+        });
+    }
+
+    /** A question was asked: if it is for this node, removing it is the answer, also for a former life of the node. */
+    void challengeChanged(String name, JsonObject challenge, long stamp) {
+        if (challenge == null) {
+            questions.remove(name);
+        } else {
+            questions.put(name, loop.now());
+        }
+        if (challenge != null && name.equals(node)) {
+            String by = "?";
+            try {
+                by = Json.textOr(challenge, "by", by);
+            } catch (Json.BadMessage e) {
+                LOG.warn("the question to {} can't be read: {}", name, e.getMessage());
+            }
+            LOG.info("{} suspects this node: it answers that it is alive", by);
+            remove(Keys.challenge(name), stamp);
+        }
+    }
+
+    private void remove(String key, long stamp) {
+        StateStore.Txn txn = new StateStore.Txn().guard(key, stamp).delete(key);
+        store.commit(txn, StateStore.Urgency.LEASE, result -> {
+            if (result.ok()) {
+                replica.committed(txn, result.edition());
+            }
+        });
+    }
+}
--- a/src/main/java/org/havenford/coordination/Fleet.java
+++ b/src/main/java/org/havenford/coordination/Fleet.java
@@ -3,6 +3,7 @@
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -93,6 +94,40 @@
         restingProbe = new RestingProbe(calls, ledger, membership, settings.node());
     }
 
+    /** What is known of the workers of the machines that this controller owns. */
+    List<MachineNote> notes() {
+        List<MachineNote> notes = new ArrayList<>(machines.size());
+        for (MachineState machine : machines.values()) {
+            Report report = machine.report;
+            if (report != null) {
+                notes.add(new MachineNote(
+                        machine.name,
+                        report.endpoint(),
+                        report.session(),
+                        report.session() == machine.checkinSession ? machine.checkinSeq : 0,
+                        Math.max(report.token(), machine.token())));
+            }
+        }
+        return notes;
+    }
+
+    /**
+     * Takes over what the former owner knew of a worker, and asks the worker itself. A report that is no newer than what the
+     * former owner had is a late copy, also for an owner that has not heard the worker yet.
+     */
+    void contact(MachineNote note) {
+        if (!membership.entitled() || !mine(note.machine())) {
+            return;
+        }
+        MachineState machine = owned(note.machine());
+        if (machine.report != null) {
+            return;
+        }
+        machine.checkinSession = note.session();
+        machine.checkinSeq = note.checkinSequence();
+        commands.contact(machine, note);
+    }
+
     private boolean mine(String machine) {
         return settings.node().equals(membership.owner(machine));
     }
@@ -181,7 +216,12 @@
     private MachineState takeOver(String name) {
         String before = previousView.owner(name);
         Long incarnation = before == null ? null : previousView.members().get(before);
-        boolean gone = sawAView && before != null && !membership.isMember(before, incarnation);
+        // An evicted owner may hold itself entitled until its lease ends by its own clock.
+        // stalled-owner-is-evicted.trace
+        boolean gone = sawAView
+                && before != null
+                && !membership.isMember(before, incarnation)
+                && !membership.view().wasEvicted(before, incarnation);
         Instant renewed = gone ? loop.now() : loop.now().plus(membership.life());
         MachineState machine = new MachineState(name, renewed);
         machine.epoch = membership.view().epoch();
--- a/src/main/java/org/havenford/coordination/Membership.java
+++ b/src/main/java/org/havenford/coordination/Membership.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Replica;
@@ -44,10 +45,20 @@
     private static final int LEAST_MISDIRECTED = 2;
     private static final int MAX_KEPT = 20_000;
 
-    /** Of what this program reads and writes; 1 is what came before pipelines, and says nothing of itself. */
-    private static final int FORMAT = 2;
+    /**
+     * Of what this program reads and writes; 1 is what came before pipelines, and says nothing of itself. From 3 on a
+     * view may name members that were evicted.
+     */
+    private static final int FORMAT = 3;
+
+    private static final int FORMAT_OF_PIPELINES = 2;
+    private static final int FORMAT_OF_EVICTIONS = 3;
+    /** After its first eviction a node joins again this much later; twice as long after each further one. */
+    private static final Duration FIRST_REJOIN = Duration.ofSeconds(2);
 
-    private record Member(long incarnation, long stamp) {}
+    private static final Duration LAST_REJOIN = Duration.ofSeconds(32);
+
+    private record Member(long incarnation, long stamp, long format) {}
 
     /** The view was found as we hold it, at this edition of the store. */
     private record Comparison(Instant sent, long edition) {}
@@ -85,6 +96,7 @@
     private Instant wokeAt = Instant.MIN;
 
     private Instant lastProposal = Instant.MIN;
+    private Duration rejoinAfter = FIRST_REJOIN;
 
     /** {@code ownedBy} tells how many machines a node owns. */
     public Membership(
@@ -285,6 +297,10 @@
 
     private void register() {
         long mine = permit;
+        if (mine == 0) {
+            // A repeat that was due after the lease had ended: a registration without a lease would stay for ever.
+            return;
+        }
         JsonObject value = new JsonObject();
         value.addProperty("incarnation", mine);
         value.addProperty("format", FORMAT);
@@ -311,8 +327,9 @@
             if (value == null) {
                 members.remove(name);
             } else {
-                members.put(name, new Member(Json.count(value, "incarnation"), stamp));
-                if (Json.countOr(value, "format", 1) >= FORMAT) {
+                long format = Json.countOr(value, "format", 1);
+                members.put(name, new Member(Json.count(value, "incarnation"), stamp, format));
+                if (format >= FORMAT_OF_PIPELINES) {
                     renewed.add(name);
                 }
             }
@@ -349,12 +366,90 @@
             if (registered && viewStamp > 0) {
                 compare();
             }
+            if (permit != 0 && view.wasEvicted(node, permit)) {
+                leaveAfterEviction();
+            }
             changed.run();
         } catch (Json.BadMessage | RuntimeException e) {
             LOG.error("the view can't be read", e);
         }
     }
 
+    /**
+     * Others took this life of the node for dead. It may have been silent for a while only; it gives its lease back and joins
+     * as another life, later each time, so that a node that stalls again and again does not keep machines moving.
+     */
+    private void leaveAfterEviction() {
+        LOG.warn("evicted from the view: joining again in {} s", rejoinAfter.toSeconds());
+        long former = permit;
+        permit = 0;
+        registered = false;
+        leaseUntil = Instant.MIN;
+        store.endLease(former, result -> {});
+        loop.after(rejoinAfter, this::acquire);
+        rejoinAfter =
+                LAST_REJOIN.compareTo(rejoinAfter.multipliedBy(2)) < 0 ? LAST_REJOIN : rejoinAfter.multipliedBy(2);
+    }
+
+    /** The incarnation of this node that is in the view, or 0. */
+    long incarnation() {
+        return isMember() ? permit : 0;
+    }
+
+    /** Whether all members of the view read the mark of an eviction, without which they would release tasks too soon. */
+    boolean allReadEvictions() {
+        for (Map.Entry<String, Long> inView : view.members().entrySet()) {
+            Member member = members.get(inView.getKey());
+            if (member == null || member.incarnation() != inView.getValue() || member.format() < FORMAT_OF_EVICTIONS) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Proposes a view without a member whose lease may still run, provided that the member has not removed the question
+     * with the given stamp meanwhile. Its registration goes in the same transaction.
+     */
+    void evict(String name, long incarnation, long challengeStamp, Consumer<Boolean> done) {
+        if (!isMember(name, incarnation) || proposing || !allReadEvictions()) {
+            done.accept(false);
+            return;
+        }
+        TreeMap<String, Long> remaining = new TreeMap<>(view.members());
+        remaining.remove(name);
+        TreeSet<String> resting = new TreeSet<>(view.resting());
+        resting.remove(name);
+        TreeMap<String, Long> evicted = new TreeMap<>(view.evicted());
+        evicted.put(name, incarnation);
+        View next = new View(view.epoch() + 1, remaining, new TreeMap<>(), resting, evicted);
+        StateStore.Txn txn = new StateStore.Txn().guard(Keys.VIEW, viewStamp);
+        view.members().keySet().forEach(member -> guardRegistration(txn, member));
+        String challenge = Keys.challenge(name);
+        txn.guard(challenge, challengeStamp)
+                .set(Keys.VIEW, next.toJson())
+                .delete(Keys.member(name))
+                .delete(challenge);
+        propose(txn, done);
+    }
+
+    private void guardRegistration(StateStore.Txn txn, String name) {
+        Member member = members.get(name);
+        txn.guard(Keys.member(name), member == null ? 0 : member.stamp());
+    }
+
+    private void propose(StateStore.Txn txn, Consumer<Boolean> done) {
+        proposing = true;
+        lastProposal = loop.now();
+        store.commit(txn, StateStore.Urgency.LEASE, result -> {
+            proposing = false;
+            if (result.ok()) {
+                replica.committed(txn, result.edition());
+            }
+            done.accept(result.ok());
+        });
+    }
+
     /** Asks for a machine that seems unable to reach its owner; once for each set of members, or it would be handed round. */
     public void wantMove(String machine) {
         if (wantedMoves.size() + view.moved().size() < MAX_MOVES
@@ -447,24 +542,16 @@
             LOG.info("{} is out of its workers' reach: it rests", rest);
             resting.add(rest);
         }
-        View next = new View(view.epoch() + 1, wanted, moved, resting);
+        TreeMap<String, Long> evicted = new TreeMap<>(view.evicted());
+        evicted.keySet().removeAll(wanted.keySet());
+        View next = new View(view.epoch() + 1, wanted, moved, resting, evicted);
         StateStore.Txn txn = new StateStore.Txn().guard(Keys.VIEW, viewStamp);
         // A member leaves only while its leased key is certainly gone (or a later life of the node has replaced it),
         // so it can no longer hold itself entitled.
         TreeMap<String, Long> all = new TreeMap<>(wanted);
         all.putAll(view.members());
-        for (String name : all.keySet()) {
-            Member m = members.get(name);
-            txn.guard(Keys.member(name), m == null ? 0 : m.stamp());
-        }
+        all.keySet().forEach(name -> guardRegistration(txn, name));
         txn.set(Keys.VIEW, next.toJson());
-        proposing = true;
-        lastProposal = loop.now();
-        store.commit(txn, StateStore.Urgency.LEASE, r -> {
-            proposing = false;
-            if (r.ok()) {
-                replica.committed(txn, r.edition());
-            }
-        });
+        propose(txn, committed -> {});
     }
 }
--- a/src/main/java/org/havenford/coordination/Operator.java
+++ b/src/main/java/org/havenford/coordination/Operator.java
@@ -20,17 +20,10 @@
         Duration idleBeforeReturn,
         double spareShare,
         Duration silentBeforeReturn,
-        SpeedFirst speedFirst) {
-
-    public static final Operator DEFAULTS = new Operator(
-            0.75,
-            10,
-            Duration.ofSeconds(8),
-            Duration.ofMillis(20),
-            Duration.ofSeconds(20),
-            0.15,
-            Duration.ofSeconds(30),
-            SpeedFirst.UNMETERED);
+        SpeedFirst speedFirst,
+        StandbySettings standby) {
+
+    public static final Operator DEFAULTS = new Builder().build();
 
     /** A setting that can't be used; the text names the element. */
     public static final class BadSetting extends Exception {
@@ -76,100 +69,81 @@
         if (!root.getTagName().equals("havenford")) {
             throw new BadSetting("<" + root.getTagName() + ">: the root element must be <havenford>");
         }
-        Operator o = DEFAULTS;
+        Builder builder = new Builder();
         for (Node n = root.getFirstChild(); n != null; n = n.getNextSibling()) {
             if (n instanceof Element e) {
-                o = o.with(e.getTagName(), e.getTextContent().strip());
+                builder.set(e.getTagName(), e.getTextContent().strip());
             }
         }
-        return o;
+        Operator operator = builder.build();
+        if (!operator.standby().isConsistent()) {
+            throw new BadSetting("<standby-suspect-ms> must be more than twice <standby-heartbeat-ms>");
+        }
+        return operator;
     }
 
-    /** Unknown elements are ignored, as unknown fields are elsewhere. */
-    private Operator with(String name, String text) throws BadSetting {
-        return switch (name) {
-            case "late-threshold" ->
-                new Operator(
-                        number(name, text, 0.5, 0.999),
-                        lateMinimumDone,
-                        membershipLease,
-                        roundBudget,
-                        idleBeforeReturn,
-                        spareShare,
-                        silentBeforeReturn,
-                        speedFirst);
-            case "late-minimum-done" ->
-                new Operator(
-                        lateThreshold,
-                        (int) number(name, text, 1, 100_000),
-                        membershipLease,
-                        roundBudget,
-                        idleBeforeReturn,
-                        spareShare,
-                        silentBeforeReturn,
-                        speedFirst);
-            case "membership-lease-s" ->
-                new Operator(
-                        lateThreshold,
-                        lateMinimumDone,
-                        Duration.ofMillis((long) (number(name, text, 2, 60) * 1000)),
-                        roundBudget,
-                        idleBeforeReturn,
-                        spareShare,
-                        silentBeforeReturn,
-                        speedFirst);
-            case "round-budget-ms" ->
-                new Operator(
-                        lateThreshold,
-                        lateMinimumDone,
-                        membershipLease,
-                        Duration.ofMillis((long) number(name, text, 1, 1000)),
-                        idleBeforeReturn,
-                        spareShare,
-                        silentBeforeReturn,
-                        speedFirst);
-            case "idle-before-return-s" ->
-                new Operator(
-                        lateThreshold,
-                        lateMinimumDone,
-                        membershipLease,
-                        roundBudget,
-                        Duration.ofMillis((long) (number(name, text, 0, 86_400) * 1000)),
-                        spareShare,
-                        silentBeforeReturn,
-                        speedFirst);
-            case "spare-share" ->
-                new Operator(
-                        lateThreshold,
-                        lateMinimumDone,
-                        membershipLease,
-                        roundBudget,
-                        idleBeforeReturn,
-                        number(name, text, 0, 10),
-                        silentBeforeReturn,
-                        speedFirst);
-            case "silent-before-return-s" ->
-                new Operator(
-                        lateThreshold,
-                        lateMinimumDone,
-                        membershipLease,
-                        roundBudget,
-                        idleBeforeReturn,
-                        spareShare,
-                        Duration.ofMillis((long) (number(name, text, 5, 3600) * 1000)),
-                        speedFirst);
-            case "speed-first" ->
-                new Operator(
-                        lateThreshold,
-                        lateMinimumDone,
-                        membershipLease,
-                        roundBudget,
-                        idleBeforeReturn,
-                        spareShare,
-                        silentBeforeReturn,
-                        speedFirst(name, text));
-            default -> this;
-        };
+    /** Settings while they are read, with the defaults of those that are not named. */
+    private static final class Builder {
+        private double lateThreshold = 0.75;
+        private int lateMinimumDone = 10;
+        private Duration membershipLease = Duration.ofSeconds(8);
+        private Duration roundBudget = Duration.ofMillis(20);
+        private Duration idleBeforeReturn = Duration.ofSeconds(20);
+        private double spareShare = 0.15;
+        private Duration silentBeforeReturn = Duration.ofSeconds(30);
+        private SpeedFirst speedFirst = SpeedFirst.UNMETERED;
+        private StandbySettings standby = StandbySettings.OFF;
+
+        /** Unknown elements are ignored, as unknown fields are elsewhere. */
+        void set(String name, String text) throws BadSetting {
+            switch (name) {
+                case "late-threshold" -> lateThreshold = number(name, text, 0.5, 0.999);
+                case "late-minimum-done" -> lateMinimumDone = (int) number(name, text, 1, 100_000);
+                case "membership-lease-s" -> membershipLease = seconds(name, text, 2, 60);
+                case "round-budget-ms" -> roundBudget = millis(name, text, 1, 1000);
+                case "idle-before-return-s" -> idleBeforeReturn = seconds(name, text, 0, 86_400);
+                case "spare-share" -> spareShare = number(name, text, 0, 10);
+                case "silent-before-return-s" -> silentBeforeReturn = seconds(name, text, 5, 3600);
+                case "speed-first" -> speedFirst = speedFirst(name, text);
+                case "standby" -> standby = standby.enabled(onOrOff(name, text));
+                case "standby-heartbeat-ms" -> standby = standby.withHeartbeat(millis(name, text, 50, 2000));
+                case "standby-suspect-ms" -> standby = standby.withSuspectAfter(millis(name, text, 200, 10_000));
+                case "standby-challenge-ms" -> standby = standby.withChallenge(millis(name, text, 100, 5000));
+                case "standby-buffer-kb" ->
+                    standby = standby.withBufferBytes((int) number(name, text, 64, 16_384) * 1024);
+                default -> {
+                    // A newer version may know it.
+                }
+            }
+        }
+
+        Operator build() {
+            return new Operator(
+                    lateThreshold,
+                    lateMinimumDone,
+                    membershipLease,
+                    roundBudget,
+                    idleBeforeReturn,
+                    spareShare,
+                    silentBeforeReturn,
+                    speedFirst,
+                    standby);
+        }
+    }
+
+    private static Duration seconds(String name, String text, double least, double most) throws BadSetting {
+        return Duration.ofMillis((long) (number(name, text, least, most) * 1000));
+    }
+
+    private static Duration millis(String name, String text, double least, double most) throws BadSetting {
+        return Duration.ofNanos((long) (number(name, text, least, most) * 1_000_000));
+    }
+
+    private static boolean onOrOff(String name, String text) throws BadSetting {
+        if (text.equals("on") || text.equals("off")) {
+            return text.equals("on");
+        }
+        throw new BadSetting("<" + name + ">: '" + text + "' is neither on nor off");
     }
 
     private static SpeedFirst speedFirst(String name, String text) throws BadSetting {
--- /dev/null
+++ b/src/main/java/org/havenford/coordination/StandbyHost.java
@@ -0,0 +1,64 @@
+package org.havenford.coordination;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.havenford.bookkeeping.StateStore;
+import org.havenford.transport.EventLoop;
+
+/** What a standby sees of the controller that it runs in, and may ask of it. All of it on the event loop. */
+public interface StandbyHost {
+    /** Told of what a standby acts on. */
+    interface Observer extends StateStore.CommitObserver {
+        /** The view in force has changed. */
+        void viewChanged();
+
+        /** This process has stood still: silence meanwhile was not seen. */
+        void stoodStill();
+    }
+
+    /** The controller's loop. */
+    EventLoop loop();
+
+    /** An event that did not come through the loop begins. */
+    void eventBegins();
+
+    /** Has the observer told from now on. */
+    void observe(Observer observer);
+
+    /** The view in force. */
+    View view();
+
+    /** The incarnation of this node in the view, or 0. */
+    long incarnation();
+
+    /** Whether this node may decide: its lease holds, and its replica has passed the view in force. */
+    boolean entitled();
+
+    /** Edition that the replica has reached. */
+    long replicaEdition();
+
+    /** Stamp of the view in force. */
+    long viewStamp();
+
+    /** Whether a member may be evicted now. */
+    boolean evictionPermitted(String node);
+
+    /** Asks a member through the state service whether it is alive; tells the stamp of the question, 0 if it failed. */
+    void challenge(String node, long incarnation, LongConsumer asked);
+
+    /** Takes a question back. */
+    void withdrawChallenge(String node, long stamp);
+
+    /** Evicts a member that did not answer; tells whether the view without it was committed. */
+    void evict(String node, long incarnation, long challengeStamp, Consumer<Boolean> done);
+
+    /** What is known of the workers of the machines that this node owns. */
+    List<MachineNote> machineNotes();
+
+    /** How urgent the claims on a machine are: 0 is the most urgent; without any claim, the largest. */
+    int urgency(String machine);
+
+    /** Sends this node's token to the worker of a machine that was taken over, which answers with a report. */
+    void contact(MachineNote note);
+}
--- a/src/main/java/org/havenford/coordination/View.java
+++ b/src/main/java/org/havenford/coordination/View.java
@@ -14,11 +14,22 @@
 
 /**
  * Who takes part, as one key of the store says: node and incarnation (the lease it joined with). Each change raises the
- * epoch, and with it every token. A resting member owns no machines: their workers could not reach it.
+ * epoch, and with it every token. A resting member owns no machines: their workers could not reach it. Of an evicted node
+ * the incarnation is kept that was taken out before its lease had ended, until another one of it is a member.
  */
-public record View(long epoch, TreeMap<String, Long> members, TreeMap<String, String> moved, TreeSet<String> resting) {
+public record View(
+        long epoch,
+        TreeMap<String, Long> members,
+        TreeMap<String, String> moved,
+        TreeSet<String> resting,
+        TreeMap<String, Long> evicted) {
     private static final HashFunction HASH = Hashing.murmur3_128(0x68617665);
 
+    /** A view from which nobody was evicted. */
+    public View(long epoch, TreeMap<String, Long> members, TreeMap<String, String> moved, TreeSet<String> resting) {
+        this(epoch, members, moved, resting, new TreeMap<>());
+    }
+
     /** The view before the first member has joined. */
     public static View empty() {
         return new View(0, new TreeMap<>(), new TreeMap<>(), new TreeSet<>());
@@ -26,17 +37,23 @@
 
     /** Reads the stored view. */
     public static View parse(JsonObject o) throws Json.BadMessage {
-        TreeMap<String, Long> members = new TreeMap<>();
-        for (Map.Entry<String, com.google.gson.JsonElement> e :
-                Json.child(o, "members").entrySet()) {
-            members.put(e.getKey(), e.getValue().getAsLong());
-        }
         TreeMap<String, String> moved = new TreeMap<>();
         for (Map.Entry<String, com.google.gson.JsonElement> e :
                 Json.child(o, "moved").entrySet()) {
             moved.put(e.getKey(), e.getValue().getAsString());
         }
-        return new View(Json.count(o, "epoch"), members, moved, new TreeSet<>(Json.texts(o, "resting")));
+        TreeMap<String, Long> evicted = Json.has(o, "evicted") ? incarnations(o, "evicted") : new TreeMap<>();
+        TreeSet<String> resting = new TreeSet<>(Json.texts(o, "resting"));
+        return new View(Json.count(o, "epoch"), incarnations(o, "members"), moved, resting, evicted);
+    }
+
+    private static TreeMap<String, Long> incarnations(JsonObject o, String field) throws Json.BadMessage {
+        TreeMap<String, Long> incarnations = new TreeMap<>();
+        for (Map.Entry<String, com.google.gson.JsonElement> e :
+                Json.child(o, field).entrySet()) {
+            incarnations.put(e.getKey(), e.getValue().getAsLong());
+        }
+        return incarnations;
     }
 
     /** The stored value. */
@@ -52,6 +69,11 @@
         JsonArray r = new JsonArray();
         resting.forEach(r::add);
         o.add("resting", r);
+        if (!evicted.isEmpty()) {
+            JsonObject out = new JsonObject();
+            evicted.forEach(out::addProperty);
+            o.add("evicted", out);
+        }
         return o;
     }
 
@@ -64,6 +86,19 @@
         return highest(machine, active());
     }
 
+    /** The member that would own a machine if its owner left the view, or null. */
+    public String successor(String machine) {
+        Set<String> others = new TreeSet<>(active());
+        others.remove(owner(machine));
+        return highest(machine, others);
+    }
+
+    /** Whether an incarnation of a node was taken out before its lease had ended. */
+    public boolean wasEvicted(String node, long incarnation) {
+        Long out = evicted.get(node);
+        return out != null && out == incarnation;
+    }
+
     /** The member with the highest hash for a name, resting ones included. */
     public String rendezvous(String name) {
         return highest(name, members.keySet());
--- a/src/main/java/org/havenford/coordination/WorkerCommands.java
+++ b/src/main/java/org/havenford/coordination/WorkerCommands.java
@@ -88,9 +88,19 @@
             return;
         }
         noteRuns(machine, commands, true);
+        send(machine, machine.report.endpoint(), Command.direct(machine.token(), machine.report.session(), commands));
+    }
+
+    /** Shows this owner's token to a worker that was taken over; the reply brings its report. */
+    void contact(MachineState machine, MachineNote note) {
+        if (!machine.directInFlight) {
+            send(machine, note.endpoint(), Command.direct(machine.token(), note.session(), List.of()));
+        }
+    }
+
+    private void send(MachineState machine, String endpoint, String body) {
         machine.directInFlight = true;
-        String body = Command.direct(machine.token(), machine.report.session(), commands);
-        calls.call(machine.report.endpoint(), "POST", "/do", body, TIMEOUT, reply -> {
+        calls.call(endpoint, "POST", "/do", body, TIMEOUT, reply -> {
             machine.directInFlight = false;
             answered.accept(machine, reply);
         });
--- /dev/null
+++ b/src/main/java/org/havenford/standby/Follower.java
@@ -0,0 +1,131 @@
+package org.havenford.standby;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import org.havenford.coordination.MachineNote;
+import org.havenford.standby.FrameCodec.Frame;
+import org.havenford.standby.PeerMessage.Hello;
+import org.havenford.standby.PeerMessage.Intent;
+import org.havenford.standby.PeerMessage.Machines;
+import org.havenford.standby.PeerMessage.MachinesGone;
+import org.havenford.standby.PeerMessage.Outcome;
+import org.havenford.standby.PeerMessage.SnapshotBegin;
+
+/**
+ * What a peer has told of its machines and decisions. The stream says what the peer meant to do and how far it was when it
+ * was heard last; what it did is told by the state service alone.
+ */
+final class Follower {
+    /** Beyond this a peer's bookkeeping is broken: its own queue to the state service is far shorter. */
+    static final int MAX_OPEN = 10_000;
+
+    static final int MAX_UNKNOWN = 1000;
+    static final int MAX_MACHINES = 100_000;
+
+    private final Map<String, MachineNote> machines = new HashMap<>();
+    private final Map<Long, List<String>> open = new HashMap<>();
+    /** Decisions whose outcome the peer does not know either, the oldest first. */
+    private final LinkedHashSet<Long> unknown = new LinkedHashSet<>();
+
+    private String node;
+    private long incarnation;
+    private long expected;
+    private long highestEdition;
+
+    /** Takes the next frame of the connection. */
+    void apply(Frame frame) throws MalformedFrameException {
+        if (frame.sequence() != expected) {
+            throw new MalformedFrameException("frame " + frame.sequence() + " in place of " + expected);
+        }
+        expected++;
+        PeerMessage message = frame.message();
+        if (node == null && !(message instanceof Hello)) {
+            throw new MalformedFrameException("the first message is no hello");
+        }
+        if (message instanceof Hello hello) {
+            hello(hello);
+        } else if (message instanceof SnapshotBegin) {
+            clear();
+        } else if (message instanceof Machines told) {
+            told.notes().forEach(note -> machines.put(note.machine(), note));
+        } else if (message instanceof MachinesGone gone) {
+            gone.machines().forEach(machines::remove);
+        } else if (message instanceof Intent intent) {
+            open.put(intent.number(), intent.keys());
+        } else if (message instanceof Outcome outcome) {
+            finished(outcome);
+        }
+        if (open.size() > MAX_OPEN || machines.size() > MAX_MACHINES) {
+            throw new MalformedFrameException(open.size() + " open decisions, " + machines.size() + " machines");
+        }
+    }
+
+    private void hello(Hello hello) throws MalformedFrameException {
+        if (node != null && !node.equals(hello.node())) {
+            throw new MalformedFrameException(node + " now calls itself " + hello.node());
+        }
+        if (hello.incarnation() < incarnation) {
+            throw new MalformedFrameException("incarnation " + hello.incarnation() + " after " + incarnation);
+        }
+        if (hello.incarnation() != incarnation) {
+            clear();
+            highestEdition = 0;
+        }
+        node = hello.node();
+        incarnation = hello.incarnation();
+    }
+
+    private void clear() {
+        machines.clear();
+        open.clear();
+        unknown.clear();
+    }
+
+    /** A transaction whose outcome the peer does not know may be carried out late; of these only the last are kept. */
+    private void finished(Outcome outcome) {
+        open.remove(outcome.number());
+        if (!outcome.known()) {
+            unknown.add(outcome.number());
+            if (unknown.size() > MAX_UNKNOWN) {
+                unknown.remove(unknown.iterator().next());
+            }
+        }
+        highestEdition = Math.max(highestEdition, outcome.edition());
+    }
+
+    /** Name of the peer, or null before its hello. */
+    String node() {
+        return node;
+    }
+
+    /** Incarnation of the peer, 0 while it is no member. */
+    long incarnation() {
+        return incarnation;
+    }
+
+    /** Machines for which this node stands by. */
+    List<MachineNote> machines() {
+        return new ArrayList<>(machines.values());
+    }
+
+    /** Decisions whose outcome the peer has not told. */
+    int openDecisions() {
+        return open.size() + unknown.size();
+    }
+
+    /** Newest edition at which the peer has committed something, as far as it has told. */
+    long highestEdition() {
+        return highestEdition;
+    }
+
+    /**
+     * Whether a replica holds all that the peer committed under a view that has been replaced: what was guarded by the view
+     * lies before the stamp of the next one, also where the stream was cut before it told of it.
+     */
+    boolean hasSeenAll(long replicaEdition, long nextViewStamp) {
+        return replicaEdition >= Math.max(nextViewStamp, highestEdition);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/havenford/standby/PeerLink.java
@@ -0,0 +1,337 @@
+package org.havenford.standby;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.havenford.coordination.MachineNote;
+import org.havenford.coordination.StandbyHost;
+import org.havenford.coordination.StandbySettings;
+import org.havenford.protocol.Settings;
+import org.havenford.standby.FrameCodec.Frame;
+import org.havenford.standby.PeerMessage.Heartbeat;
+import org.havenford.standby.PeerMessage.Hello;
+import org.havenford.standby.PeerMessage.Intent;
+import org.havenford.standby.PeerMessage.Machines;
+import org.havenford.standby.PeerMessage.MachinesGone;
+import org.havenford.standby.PeerMessage.SnapshotBegin;
+import org.havenford.transport.PeerNetwork;
+import org.havenford.transport.PeerNetwork.Connection;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The connection to one peer, in both directions: what this node sends of its own machines and decisions, and the follower
+ * of what the peer sends. The node with the smaller name dials. A peer that does not take what it is sent loses the
+ * connection, and gets a snapshot with the next one; nothing here ever waits for it.
+ */
+final class PeerLink {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerLink.class);
+    private static final Duration DIAL_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration FIRST_REDIAL = Duration.ofMillis(100);
+    private static final Duration LAST_REDIAL = Duration.ofSeconds(5);
+
+    private final StandbyHost host;
+    private final PeerNetwork network;
+    private final Settings.Peer peer;
+    private final String self;
+    private final StandbySettings settings;
+    private final DecisionLog decisions;
+    private final BiConsumer<PeerLink, PeerMessage> received;
+    private final Runnable changed;
+
+    private Connection connection;
+    private Follower follower = new Follower();
+    /** What was known when the last connection ended: it is what there is to go by when the peer has died. */
+    private Follower last = new Follower();
+
+    private FrameDecoder decoder;
+    private long nextSequence;
+    private long helloIncarnation;
+    private boolean dialing;
+    private Duration redial = FIRST_REDIAL;
+    private Instant lastSent = Instant.MIN;
+    private Instant lastHeard = Instant.MIN;
+    private Instant disconnectedAt = Instant.MIN;
+    private boolean refused;
+    private final Map<String, MachineNote> sentNotes = new HashMap<>();
+    private long bytesSent;
+
+    /** {@code received} is told messages of interest to others; {@code changed} that the peer may have become unreachable. */
+    PeerLink(
+            StandbyHost host,
+            PeerNetwork network,
+            Settings.Peer peer,
+            String self,
+            StandbySettings settings,
+            DecisionLog decisions,
+            BiConsumer<PeerLink, PeerMessage> received,
+            Runnable changed) {
+        this.host = host;
+        this.network = network;
+        this.peer = peer;
+        this.self = self;
+        this.settings = settings;
+        this.decisions = decisions;
+        this.received = received;
+        this.changed = changed;
+    }
+
+    String name() {
+        return peer.node();
+    }
+
+    String zone() {
+        return peer.zone();
+    }
+
+    /** Begins to dial, if this node is the one to do so. */
+    void start() {
+        if (dials()) {
+            dial();
+        }
+    }
+
+    private boolean dials() {
+        return self.compareTo(peer.node()) < 0;
+    }
+
+    private void dial() {
+        if (connection != null || dialing) {
+            return;
+        }
+        dialing = true;
+        network.connect(peer.address(), DIAL_TIMEOUT, this::dialed, reason -> {
+            host.eventBegins();
+            dialing = false;
+            dialFailed(reason);
+        });
+    }
+
+    private void dialed(Connection opened) {
+        host.eventBegins();
+        dialing = false;
+        if (connection != null || !dials()) {
+            // The other side dials: this was only to see whether anybody is there.
+            opened.close();
+            return;
+        }
+        redial = FIRST_REDIAL;
+        use(opened, new FrameDecoder());
+        sayHello();
+    }
+
+    private void dialFailed(String reason) {
+        LOG.debug("{} can't be dialed: {}", peer.node(), reason);
+        if (connection == null) {
+            refused = true;
+            changed.run();
+        }
+        if (dials()) {
+            host.loop().after(redial, this::dial);
+            redial = LAST_REDIAL.compareTo(redial.multipliedBy(2)) < 0 ? LAST_REDIAL : redial.multipliedBy(2);
+        }
+    }
+
+    /** Takes over a connection that came in and whose first message was the peer's hello. */
+    void accept(Connection opened, FrameDecoder decoderOfHello, List<Frame> frames) {
+        if (connection != null) {
+            connection.close();
+            disconnected("the peer has opened another connection");
+        }
+        use(opened, decoderOfHello);
+        sayHello();
+        apply(frames);
+    }
+
+    private void use(Connection opened, FrameDecoder newDecoder) {
+        connection = opened;
+        decoder = newDecoder;
+        follower = new Follower();
+        nextSequence = 0;
+        refused = false;
+        lastHeard = host.loop().now();
+        sentNotes.clear();
+        opened.receiver(new PeerNetwork.Receiver() {
+            @Override
+            public void received(ByteBuffer bytes) {
+                host.eventBegins();
+                if (connection == opened) {
+                    read(bytes);
+                }
+            }
+
+            @Override
+            public void closed(String reason) {
+                host.eventBegins();
+                if (connection == opened) {
+                    disconnected(reason);
+                }
+            }
+        });
+    }
+
+    private void read(ByteBuffer bytes) {
+        try {
+            apply(decoder.feed(bytes));
+        } catch (MalformedFrameException e) {
+            fail(e.getMessage());
+        }
+    }
+
+    private void apply(List<Frame> frames) {
+        try {
+            for (Frame frame : frames) {
+                if (connection == null) {
+                    return;
+                }
+                follower.apply(frame);
+                lastHeard = host.loop().now();
+                if (!peer.node().equals(follower.node())) {
+                    throw new MalformedFrameException("the peer calls itself " + follower.node());
+                }
+                received.accept(this, frame.message());
+            }
+        } catch (MalformedFrameException e) {
+            fail(e.getMessage());
+        }
+    }
+
+    private void fail(String reason) {
+        LOG.warn("the connection to {} is closed: {}", peer.node(), reason);
+        connection.close();
+        disconnected(reason);
+    }
+
+    private void disconnected(String reason) {
+        LOG.debug("no connection to {} any more: {}", peer.node(), reason);
+        connection = null;
+        last = follower;
+        disconnectedAt = host.loop().now();
+        changed.run();
+        // Also where the peer dials: refusal is the quickest sign that it has ended.
+        dial();
+    }
+
+    // ---- sending
+
+    private void sayHello() {
+        helloIncarnation = host.incarnation();
+        send(new Hello(self, helloIncarnation));
+        send(new SnapshotBegin());
+        decisions.forEachOpen(this::sendIntent);
+    }
+
+    /** Sends a message if there is a connection. */
+    void send(PeerMessage message) {
+        if (connection == null) {
+            return;
+        }
+        ByteBuffer frame = FrameCodec.encode(message, nextSequence++);
+        bytesSent += frame.remaining();
+        lastSent = host.loop().now();
+        connection.send(frame);
+        if (connection != null && connection.pendingBytes() > settings.bufferBytes()) {
+            fail(connection.pendingBytes() + " bytes were not taken");
+        }
+    }
+
+    /** Tells of a transaction that is about to be sent. */
+    void sendIntent(long number, List<String> keys) {
+        if (connection != null) {
+            send(new Intent(number, keys.subList(0, Math.min(keys.size(), FrameCodec.MAX_ITEMS))));
+        }
+    }
+
+    /** Tells that this node is alive, unless something else has just been sent. */
+    void heartbeat() {
+        if (connection == null) {
+            return;
+        }
+        if (helloIncarnation != host.incarnation()) {
+            sentNotes.clear();
+            sayHello();
+        } else if (!host.loop()
+                .now()
+                .isBefore(lastSent.plus(settings.heartbeat().dividedBy(2)))) {
+            send(new Heartbeat());
+        }
+    }
+
+    /** Sends what has changed of the machines for which the peer stands by. */
+    void sendNotes(List<MachineNote> notes) {
+        if (connection == null) {
+            return;
+        }
+        List<MachineNote> news = new ArrayList<>();
+        Set<String> named = new HashSet<>();
+        for (MachineNote note : notes) {
+            named.add(note.machine());
+            if (!note.equals(sentNotes.put(note.machine(), note))) {
+                news.add(note);
+            }
+        }
+        List<String> gone = new ArrayList<>(sentNotes.keySet());
+        gone.removeAll(named);
+        sentNotes.keySet().removeAll(gone);
+        for (int from = 0; from < news.size(); from += FrameCodec.MAX_ITEMS) {
+            send(new Machines(news.subList(from, Math.min(news.size(), from + FrameCodec.MAX_ITEMS))));
+        }
+        for (int from = 0; from < gone.size(); from += FrameCodec.MAX_ITEMS) {
+            send(new MachinesGone(gone.subList(from, Math.min(gone.size(), from + FrameCodec.MAX_ITEMS))));
+        }
+    }
+
+    /** Bytes sent since the last call. */
+    long takeBytesSent() {
+        long bytes = bytesSent;
+        bytesSent = 0;
+        return bytes;
+    }
+
+    // ---- what the peer is
+
+    boolean connected() {
+        return connection != null;
+    }
+
+    /** What the peer has told, also over a connection that has ended. */
+    Follower follower() {
+        return connection != null && follower.node() != null ? follower : last;
+    }
+
+    /** Time since something was heard of the peer. */
+    Duration silence() {
+        return Duration.between(lastHeard, host.loop().now());
+    }
+
+    /** This process could not have heard anything for a while. */
+    void forgiveSilence() {
+        Instant now = host.loop().now();
+        lastHeard = lastHeard.equals(Instant.MIN) ? lastHeard : now;
+        disconnectedAt = disconnectedAt.equals(Instant.MIN) ? disconnectedAt : now;
+        refused = false;
+        if (connection == null) {
+            dial();
+        }
+    }
+
+    /** Whether this incarnation, which was heard before, is silent for too long or refuses connections. */
+    boolean suspects(long incarnation) {
+        Follower known = follower();
+        if (incarnation == 0 || known.incarnation() != incarnation) {
+            return false;
+        }
+        Instant now = host.loop().now();
+        if (connection != null) {
+            return now.isAfter(lastHeard.plus(settings.suspectAfter()));
+        }
+        return refused || now.isAfter(disconnectedAt.plus(settings.suspectAfter()));
+    }
+}
--- a/src/test/java/org/havenford/coordination/QuietObserver.java
+++ b/src/test/java/org/havenford/coordination/QuietObserver.java
@@ -12,6 +12,9 @@
     @Override
     public void memberChanged(String node, JsonObject member, long stamp) {}
 
+    @Override
+    public void challengeChanged(String node, JsonObject challenge, long stamp) {}
+
     @Override
     public void machineChanged(String machine) {}
 
--- a/src/test/java/org/havenford/coordination/StoredValuesTest.java
+++ b/src/test/java/org/havenford/coordination/StoredValuesTest.java
@@ -142,6 +142,9 @@
                 members.add(node);
             }
 
+            @Override
+            public void challengeChanged(String node, JsonObject challenge, long stamp) {}
+
             @Override
             public void machineChanged(String machine) {}
 
--- /dev/null
+++ b/src/test/java/org/havenford/standby/FrameCodecProperties.java
@@ -0,0 +1,124 @@
+package org.havenford.standby;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.havenford.coordination.MachineNote;
+import org.havenford.standby.FrameCodec.Frame;
+import org.havenford.standby.PeerMessage.Heartbeat;
+import org.havenford.standby.PeerMessage.Hello;
+import org.havenford.standby.PeerMessage.Intent;
+import org.havenford.standby.PeerMessage.Machines;
+import org.havenford.standby.PeerMessage.MachinesGone;
+import org.havenford.standby.PeerMessage.Outcome;
+import org.havenford.standby.PeerMessage.ReachAnswer;
+import org.havenford.standby.PeerMessage.ReachQuestion;
+import org.havenford.standby.PeerMessage.SnapshotBegin;
+
+/** Every message survives the wire, however its bytes are cut; nonsense ends in a typed error and holds no memory. */
+class FrameCodecProperties {
+    private static final String SEED = "4711";
+
+    @Property(seed = SEED)
+    void messagesSurviveAnyCutOfTheStream(
+            @ForAll("messages") List<PeerMessage> messages, @ForAll("partLengths") List<Integer> partLengths)
+            throws MalformedFrameException {
+        List<Frame> sent = new ArrayList<>();
+        ByteBuffer stream = ByteBuffer.allocate(4 * 1024 * 1024);
+        for (PeerMessage message : messages) {
+            stream.put(FrameCodec.encode(message, sent.size()));
+            sent.add(new Frame(sent.size(), message));
+        }
+        stream.flip();
+        FrameDecoder decoder = new FrameDecoder();
+        List<Frame> received = new ArrayList<>();
+        for (int i = 0; stream.hasRemaining(); i++) {
+            int length = Math.min(stream.remaining(), partLengths.get(i % partLengths.size()));
+            received.addAll(decoder.feed(stream.slice(stream.position(), length)));
+            stream.position(stream.position() + length);
+        }
+        assertEquals(sent, received);
+    }
+
+    @Property(seed = SEED)
+    void nonsenseIsRefusedOrWaitedFor(@ForAll byte[] bytes) {
+        feedTolerantly(ByteBuffer.wrap(bytes));
+    }
+
+    @Property(seed = SEED)
+    void aDamagedFrameNeverDoesMoreThanEndTheConnection(
+            @ForAll("message") PeerMessage message, @ForAll int position, @ForAll byte value) {
+        ByteBuffer frame = FrameCodec.encode(message, 1);
+        frame.put(Math.floorMod(position, frame.limit()), value);
+        feedTolerantly(frame);
+    }
+
+    /** Anything but the typed error fails the test. */
+    private static void feedTolerantly(ByteBuffer bytes) {
+        try {
+            new FrameDecoder().feed(bytes);
+        } catch (MalformedFrameException expected) {
+            assertTrue(expected.getMessage().length() > 3);
+        }
+    }
+
+    @Example
+    void nonsenseLengthsAndOtherVersionsAreNamed() {
+        assertRefused(frame -> frame.putInt(4, Integer.MAX_VALUE), "payload");
+        assertRefused(frame -> frame.putInt(4, -1), "payload");
+        assertRefused(frame -> frame.put(2, (byte) 9), "version 9");
+        assertRefused(frame -> frame.put(3, (byte) 99), "type 99");
+        assertRefused(frame -> frame.putShort(0, (short) 0x4745), "no frame");
+        assertRefused(frame -> frame.putInt(4, 3), "too short");
+        assertRefused(frame -> frame.putShort(FrameCodec.HEADER_BYTES, (short) 5000), "a text of 5000");
+    }
+
+    private static void assertRefused(java.util.function.Consumer<ByteBuffer> damage, String reason) {
+        ByteBuffer frame = FrameCodec.encode(new Hello("node-0", 7), 0);
+        damage.accept(frame);
+        MalformedFrameException refused =
+                assertThrows(MalformedFrameException.class, () -> new FrameDecoder().feed(frame));
+        assertTrue(refused.getMessage().contains(reason), refused.getMessage());
+    }
+
+    @Provide
+    Arbitrary<List<Integer>> partLengths() {
+        return Arbitraries.integers().between(1, 300).list().ofMinSize(1).ofMaxSize(20);
+    }
+
+    @Provide
+    Arbitrary<List<PeerMessage>> messages() {
+        return message().list().ofMaxSize(30);
+    }
+
+    @Provide
+    Arbitrary<PeerMessage> message() {
+        Arbitrary<String> text =
+                Arbitraries.strings().withChars("abcxyz-/0129äß€").ofMaxLength(FrameCodec.MAX_TEXT_BYTES / 3);
+        Arbitrary<Long> number = Arbitraries.longs();
+        Arbitrary<Boolean> flag = Arbitraries.of(true, false);
+        Arbitrary<List<String>> texts = text.list().ofMaxSize(FrameCodec.MAX_ITEMS);
+        Arbitrary<MachineNote> note =
+                Combinators.combine(text, text, number, number, number).as(MachineNote::new);
+        return Arbitraries.oneOf(
+                Combinators.combine(text, number).as(Hello::new),
+                Arbitraries.of(new Heartbeat(), new SnapshotBegin()),
+                note.list().ofMaxSize(FrameCodec.MAX_ITEMS).map(Machines::new),
+                texts.map(MachinesGone::new),
+                Combinators.combine(number, texts).as(Intent::new),
+                Combinators.combine(number, flag, number).as(Outcome::new),
+                Combinators.combine(text, number).as(ReachQuestion::new),
+                Combinators.combine(text, number, flag).as(ReachAnswer::new));
+    }
+}
--- a/src/test/java/org/havenford/world/Cloud.java
+++ b/src/test/java/org/havenford/world/Cloud.java
@@ -53,7 +53,7 @@
         String name = String.format("host-%06d", created++);
         JsonObject o = new JsonObject();
         o.addProperty("nameId", name);
-        o.addProperty("endpoint", name + ":9000");
+        o.addProperty("endpoint", world.endpoints.apply(name));
         o.addProperty("rig", type);
         o.addProperty("hall", zone);
         o.addProperty("borrowed", spot);
@@ -66,7 +66,7 @@
         });
         Worker w = new Worker(world, name, type, zone, spot);
         world.workers.put(name, w);
-        world.lies(name + ":9000", zone);
+        world.lies(world.endpoints.apply(name), zone);
         if (!darkZones.contains(zone)) {
             world.after(in, () -> {
                 if (!gone.contains(name)) {
--- /dev/null
+++ b/src/test/java/org/havenford/world/ControllerProcess.java
@@ -0,0 +1,79 @@
+package org.havenford.world;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.havenford.Main;
+
+/** A controller as a process of its own, whose signals a test gives. */
+final class ControllerProcess {
+    private final Path settings;
+    private final Path operator;
+    private final Path log;
+    private Process process;
+
+    ControllerProcess(Path directory, String node, String settingsJson, String operatorXml) throws IOException {
+        settings = Files.writeString(directory.resolve(node + ".json"), settingsJson);
+        operator = Files.writeString(directory.resolve(node + ".xml"), operatorXml);
+        log = directory.resolve(node + ".log");
+    }
+
+    void start() throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx96m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "--operator",
+                operator.toString(),
+                "--config",
+                settings.toString()));
+        process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+    }
+
+    /** Ends the process without a warning, as SIGKILL does. */
+    void kill() throws IOException {
+        signal("CONT");
+        process.destroyForcibly();
+        try {
+            process.waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Stops the process where it is. */
+    void stop() throws IOException {
+        signal("STOP");
+    }
+
+    /** Lets a stopped process go on. */
+    void resume() throws IOException {
+        signal("CONT");
+    }
+
+    private void signal(String name) throws IOException {
+        if (process.isAlive()) {
+            try {
+                new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                        .start()
+                        .waitFor();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** What the process has logged so far. */
+    String log() throws IOException {
+        return Files.exists(log) ? Files.readString(log) : "";
+    }
+}
--- a/src/test/java/org/havenford/world/DrawnDays.java
+++ b/src/test/java/org/havenford/world/DrawnDays.java
@@ -108,6 +108,36 @@
         return out;
     }
 
+    /** Troubles, and cuts between controllers, while all of them or all but one have a standby. */
+    static List<String> troublesWithStandby(long seed) {
+        SplittableRandom r = new SplittableRandom(seed + 11);
+        int nodes = new int[] {3, 3, 5, 7}[r.nextInt(4)];
+        List<String> out = new ArrayList<>(List.of("standby on"));
+        if (r.nextInt(3) == 0) {
+            out.add("standby-off node-" + r.nextInt(nodes));
+        }
+        for (int i = 0; i < 4; i++) {
+            String one = "node-" + r.nextInt(nodes);
+            String other = "node-" + r.nextInt(nodes);
+            int at = 10 + r.nextInt(90);
+            int until = at + 1 + r.nextInt(25);
+            boolean oneWay = r.nextBoolean();
+            if (!one.equals(other)) {
+                String how = oneWay ? "" : r.nextBoolean() ? " drop" : " reset";
+                out.add("at " + at + (oneWay ? " cut-peer " : " cut ") + one + " " + other + how);
+                out.add("at " + until + (oneWay ? " heal-peer " : " heal ") + one + " " + other);
+            }
+        }
+        for (int i = 0; i < 2; i++) {
+            String node = "node-" + r.nextInt(nodes);
+            int at = 10 + r.nextInt(90);
+            out.add("at " + at + " freeze " + node);
+            out.add("at " + (at + 1 + r.nextInt(12)) + " thaw " + node);
+        }
+        out.addAll(troubles(seed, nodes, 0));
+        return out;
+    }
+
     private static List<String> troubles(long seed, int nodes, int pipelinesFrom) {
         SplittableRandom r = new SplittableRandom(seed);
         r.nextInt(4);
--- /dev/null
+++ b/src/test/java/org/havenford/world/LoopbackWorld.java
@@ -0,0 +1,207 @@
+package org.havenford.world;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.havenford.protocol.Json;
+import org.havenford.protocol.Settings;
+import org.havenford.transport.HttpCalls.Reply;
+
+/**
+ * The stand-ins of a {@link World} in real time and over HTTP on loopback, around controllers that are real processes. All
+ * stand-ins run on the thread that drives this world; requests that come in wait in a queue for it.
+ */
+final class LoopbackWorld implements AutoCloseable {
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(70);
+    private static final String HOST = "127.0.0.1";
+
+    final World world;
+    final Map<String, ControllerProcess> controllers = new LinkedHashMap<>();
+    private final Map<String, HttpServer> servers = new HashMap<>();
+    private final Map<String, String> endpoints = new HashMap<>();
+    private final ConcurrentLinkedQueue<Runnable> inbox = new ConcurrentLinkedQueue<>();
+    private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task, "loopback");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2))
+            .executor(threads)
+            .build();
+    private final long startNanos = System.nanoTime();
+
+    /** Starts that many controllers, all with the same operators' settings, in zones a, b and c. */
+    LoopbackWorld(Path directory, int nodes, String teams, String operatorXml) throws IOException, Json.BadMessage {
+        List<String> binds = freeAddresses(nodes);
+        List<String> peers = freeAddresses(nodes);
+        String cloud = freeAddresses(1).get(0);
+        String state = freeAddresses(1).get(0);
+        List<String> settings = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            settings.add(settings(i, binds, peers, teams, cloud, state));
+        }
+        world = new World(1, Settings.parse(settings.get(0)));
+        world.endpoints = this::endpoint;
+        serve(state);
+        serve(cloud);
+        for (int i = 0; i < nodes; i++) {
+            Settings parsed = Settings.parse(settings.get(i));
+            world.addRemoteNode(parsed);
+            String bind = parsed.bind();
+            world.servers.put(bind, (method, path, body, answer) -> forward(bind, method, path, body, answer));
+            ControllerProcess process = new ControllerProcess(directory, parsed.node(), settings.get(i), operatorXml);
+            controllers.put(parsed.node(), process);
+            process.start();
+        }
+    }
+
+    private static String settings(
+            int node, List<String> binds, List<String> peers, String teams, String cloud, String state) {
+        StringBuilder others = new StringBuilder();
+        for (int i = 0; i < binds.size(); i++) {
+            if (i != node) {
+                others.append(others.isEmpty() ? "" : ",")
+                        .append(String.format(
+                                "{\"node_name\":\"node-%d\",\"location\":\"%c\",\"peer_addr\":\"%s\"}",
+                                i, 'a' + i % 3, peers.get(i)));
+            }
+        }
+        return String.format(
+                "{\"node_name\":\"node-%d\",\"location\":\"%c\",\"bind\":\"%s\",\"cluster_listen\":\"%s\",\"others\":[%s],"
+                        + "\"endpoints\":{\"cloud\":\"%s\",\"state\":\"%s\"},\"deployment\":{\"teams\":[%s],"
+                        + "\"workers\":{\"report_s\":3,\"lease_s\":20,\"cancel_s\":44},"
+                        + "\"state\":{\"rps\":600,\"write_rps\":300,\"value_kb\":8,\"txn_ops\":12},"
+                        + "\"cloud\":{\"rps\":5,\"list_lag_s\":4}}}",
+                node, 'a' + node % 3, binds.get(node), peers.get(node), others, cloud, state, teams);
+    }
+
+    private static List<String> freeAddresses(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<String> addresses = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST));
+                sockets.add(socket);
+                addresses.add(HOST + ":" + socket.getLocalPort());
+            }
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+        return addresses;
+    }
+
+    private String endpoint(String machine) {
+        return endpoints.computeIfAbsent(machine, name -> {
+            try {
+                String address = freeAddresses(1).get(0);
+                serve(address);
+                return address;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
+    /** Answers HTTP at an address with whatever the world has there. */
+    private void serve(String address) throws IOException {
+        int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+        HttpServer server = HttpServer.create(new InetSocketAddress(HOST, port), 64);
+        server.setExecutor(threads);
+        server.createContext("/", exchange -> handle(address, exchange));
+        server.start();
+        servers.put(address, server);
+    }
+
+    private void handle(String address, HttpExchange exchange) throws IOException {
+        String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        inbox.add(() -> {
+            World.Server server = world.servers.get(address);
+            if (server != null) {
+                server.request(
+                        exchange.getRequestMethod(), exchange.getRequestURI().toString(), body, reply::complete);
+            }
+        });
+        try {
+            Reply answer = reply.orTimeout(ANSWER_TIMEOUT.toSeconds(), java.util.concurrent.TimeUnit.SECONDS)
+                    .join();
+            byte[] bytes = answer.body().getBytes(StandardCharsets.UTF_8);
+            exchange.sendResponseHeaders(answer.status(), bytes.length == 0 ? -1 : bytes.length);
+            exchange.getResponseBody().write(bytes);
+        } catch (RuntimeException e) {
+            exchange.getResponseBody();
+        } finally {
+            exchange.close();
+        }
+    }
+
+    /** Carries a call of a worker or a user to a controller's process. */
+    private void forward(String bind, String method, String path, String body, Consumer<Reply> answer) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + bind + path))
+                .timeout(Duration.ofSeconds(5))
+                .method(
+                        method,
+                        body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).whenComplete((response, failure) -> {
+            Reply reply = failure == null ? new Reply(response.statusCode(), response.body()) : new Reply(0, "");
+            inbox.add(() -> answer.accept(reply));
+        });
+    }
+
+    /** Seconds since this world began. */
+    double seconds() {
+        return (System.nanoTime() - startNanos) / 1e9;
+    }
+
+    /** Drives the world until something holds, for so many seconds at most; returns whether it held. */
+    boolean runUntil(BooleanSupplier holds, double most) throws InterruptedException {
+        double end = seconds() + most;
+        while (seconds() < end) {
+            for (Runnable next = inbox.poll(); next != null; next = inbox.poll()) {
+                next.run();
+            }
+            world.runUntil(seconds());
+            if (holds.getAsBoolean()) {
+                return true;
+            }
+            Thread.sleep(1);
+        }
+        return false;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (ControllerProcess controller : controllers.values()) {
+            controller.kill();
+        }
+        servers.values().forEach(server -> server.stop(0));
+        threads.shutdownNow();
+    }
+}
--- a/src/test/java/org/havenford/world/Rules.java
+++ b/src/test/java/org/havenford/world/Rules.java
@@ -27,6 +27,7 @@
     private final Map<String, Integer> startsOf = new HashMap<>();
     private final Map<String, Instant> lastStartOf = new HashMap<>();
     private final Map<String, Instant> waiting = new HashMap<>();
+    private final List<Worker> reportedToCrashed = new ArrayList<>();
     private boolean touched = true;
     private Instant waitsChecked = Instant.MIN;
     private Instant checked = Instant.MIN;
@@ -60,6 +61,26 @@
         return startsOf.getOrDefault(job, 0);
     }
 
+    /** A controller has ended: these workers reported to it. */
+    void crashed(String node) {
+        reportedToCrashed.clear();
+        world.workers.values().stream().filter(w -> w.reportsTo(node)).forEach(reportedToCrashed::add);
+    }
+
+    /** The workers of the controller that ended last have seen a token of the view in force: their new owners have turned to them. */
+    void tokensRenewed() {
+        long epoch =
+                world.store.value("live/view").getAsJsonObject().get("epoch").getAsLong();
+        if (reportedToCrashed.isEmpty()) {
+            broken("not taken over", "no worker reported to the controller that ended");
+        }
+        for (Worker w : reportedToCrashed) {
+            if (w.up() && !w.hung && w.token >> 32 < epoch) {
+                broken("not taken over", w.name + " has seen no token of epoch " + epoch);
+            }
+        }
+    }
+
     void touched() {
         touched = true;
     }
--- a/src/test/java/org/havenford/world/Store.java
+++ b/src/test/java/org/havenford/world/Store.java
@@ -47,6 +47,9 @@
 
     int written;
     int conflicts;
+    /** Members that were taken out of the view before their lease had ended. */
+    int evictions;
+
     int refused;
     /** Changes made, and keys of conditions that failed, by the first two parts of the key. */
     final TreeMap<String, Integer> changesOf = new TreeMap<>();
@@ -227,6 +230,13 @@
                 expireLater(id);
                 answer.accept(new Reply(200, "{}"));
             }
+        } else if (method.equals("DELETE") && path.startsWith("/holds/")) {
+            Lease l = leases.get(Long.parseLong(path.split("/")[2]));
+            if (l != null) {
+                l.until = world.now;
+                expireLater(Long.parseLong(path.split("/")[2]));
+            }
+            answer.accept(new Reply(l == null ? 404 : 200, "{}"));
         } else if (path.startsWith("/store/")) {
             String key = path.substring("/store/".length());
             Value v = values.get(key);
@@ -334,6 +344,9 @@
                                 w.has("permit") ? w.get("permit").getAsLong() : 0));
                 changes.add(new Change(edition, w.get("set").getAsString(), w.get("v")));
             } else {
+                if (w.get("delete").getAsString().startsWith("live/member/")) {
+                    evictions++;
+                }
                 values.remove(w.get("delete").getAsString());
                 changes.add(new Change(edition, w.get("delete").getAsString(), null));
             }
--- a/src/test/java/org/havenford/world/Trace.java
+++ b/src/test/java/org/havenford/world/Trace.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.havenford.protocol.Json;
 import org.havenford.protocol.Settings;
 
@@ -58,6 +60,8 @@
         double until = 120;
         int nodes = 3;
         boolean old = false;
+        boolean standby = false;
+        Set<String> withoutStandby = new HashSet<>();
         String state = STATE;
         int keptChanges = 10_000;
         int perOffer = 0;
@@ -73,6 +77,8 @@
                             "}",
                             ",\"next\":{\"value_kb\":" + w[1] + ",\"txn_ops\":" + w[2] + ",\"write_rps\":" + w[3]
                                     + "}}");
+                case "standby" -> standby = w[1].equals("on");
+                case "standby-off" -> withoutStandby.add(w[1]);
                 case "version" -> old = w[1].equals("format-1");
                 case "per-offer" -> perOffer = Integer.parseInt(w[1]);
                 case "keep-changes" -> keptChanges = Integer.parseInt(w[1]);
@@ -89,6 +95,8 @@
         World world = new World(seed, settings(0, nodes, teamText, WORKERS, state));
         out[0] = world;
         world.store.keptChanges = keptChanges;
+        world.withStandby = standby;
+        world.withoutStandby.addAll(withoutStandby);
         world.cloud.perOffer = perOffer > 0 ? perOffer : world.cloud.perOffer;
         for (int i = 0; i < nodes; i++) {
             Settings before = old ? settings(i, nodes, teamText, WORKERS, STATE) : null;
@@ -161,6 +169,8 @@
                         case "rented-at-most" -> world.cloud.rented <= Integer.parseInt(e[2]);
                         case "starts-at-most" -> world.rules.starts(e[2]) <= Integer.parseInt(e[3]);
                         case "calls-at-most" -> world.store.requests <= Integer.parseInt(e[2]);
+                        case "evictions" -> world.store.evictions == Integer.parseInt(e[2]);
+                        case "evictions-at-least" -> world.store.evictions >= Integer.parseInt(e[2]);
                         case "gone" -> world.cloud.gone.contains(e[2]);
                         case "late-starts" -> world.rules.startsAfterCancel <= Integer.parseInt(e[2]);
                         case "starts" -> world.rules.starts == Integer.parseInt(e[2]);
@@ -177,6 +187,7 @@
     private static String counted(World world, String[] expectation) {
         return switch (expectation[1]) {
             case "rented-at-most" -> ", rented " + world.cloud.rented;
+            case "evictions", "evictions-at-least" -> ", evictions " + world.store.evictions;
             case "calls-at-most" -> ", calls " + world.store.requests;
             case "starts-at-most" -> ", starts " + world.rules.starts(expectation[2]);
             default -> "";
@@ -207,9 +218,15 @@
             case "cancel" -> w.users.cancel(a, e.length > 4 ? e[4] : null);
             case "ask" -> w.users.ask(a);
             case "repeat" -> w.users.repeat(a);
-            case "crash" -> w.nodes.get(a).crash();
+            case "crash" -> {
+                w.rules.crashed(a);
+                w.nodes.get(a).crash();
+            }
             case "start" -> w.nodes.get(a).start();
             case "upgrade" -> w.nodes.get(a).upgrade();
+            case "cut-peer" -> w.wires.oneWayCuts.add(a + ">" + e[4]);
+            case "heal-peer" -> w.wires.oneWayCuts.remove(a + ">" + e[4]);
+            case "tokens-renewed" -> w.rules.tokensRenewed();
             case "cut" -> w.cut(end(w, a), end(w, e[4]), World.Cut.valueOf(e[5].toUpperCase(java.util.Locale.ROOT)));
             case "heal" -> w.heal(end(w, a), end(w, e[4]));
             case "outage" -> {
--- a/src/test/java/org/havenford/world/TraceTest.java
+++ b/src/test/java/org/havenford/world/TraceTest.java
@@ -120,6 +120,11 @@
         return DrawnDays.play(12, DrawnDays::troubles);
     }
 
+    @TestFactory
+    Stream<DynamicTest> randomTroublesWithStandby() {
+        return DrawnDays.play(12, DrawnDays::troublesWithStandby);
+    }
+
     @TestFactory
     Stream<DynamicTest> randomTroublesOfOperations() {
         return DrawnDays.play(12, DrawnDays::operations);
--- a/src/test/java/org/havenford/world/Worker.java
+++ b/src/test/java/org/havenford/world/Worker.java
@@ -37,7 +37,7 @@
     final boolean spot;
     long session = 1;
     private long seq;
-    private long token;
+    long token;
     final Map<String, Task> tasks = new LinkedHashMap<>();
     private final Set<String> images = new HashSet<>();
     private Instant lease;
@@ -65,7 +65,7 @@
     }
 
     private String address() {
-        return name + ":9000";
+        return world.endpoints.apply(name);
     }
 
     void start() {
@@ -84,6 +84,10 @@
         world.rules.touched();
     }
 
+    boolean reportsTo(String node) {
+        return up && List.copyOf(world.nodes.keySet()).get(target).equals(node);
+    }
+
     boolean up() {
         return up;
     }
--- a/src/test/java/org/havenford/world/World.java
+++ b/src/test/java/org/havenford/world/World.java
@@ -14,12 +14,16 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.havenford.coordination.Controller;
 import org.havenford.coordination.Operator;
+import org.havenford.coordination.StandbySettings;
 import org.havenford.protocol.Settings;
+import org.havenford.standby.WarmStandby;
 import org.havenford.transport.EventLoop;
 import org.havenford.transport.HttpCalls;
 import org.havenford.transport.HttpServer;
+import org.havenford.transport.PeerNetwork;
 
 /**
  * A deterministic world in one thread: clock, network, state service, cloud, workers and users, written from the
@@ -85,7 +89,15 @@
     final Users users = new Users(this);
     final Map<String, Worker> workers = new LinkedHashMap<>();
     final Settings template;
+    final PeerWires wires = new PeerWires(this);
+    /** Whether controllers have a standby, and which of them have none all the same. */
+    boolean withStandby;
+
+    final Set<String> withoutStandby = new HashSet<>();
+
     final List<String> log = new ArrayList<>();
+    /** Where the worker of a machine is reached. */
+    UnaryOperator<String> endpoints = machine -> machine + ":9000";
 
     World(long seed, Settings template) {
         this.random = new SplittableRandom(seed);
@@ -124,6 +136,17 @@
 
     // ---- network
 
+    /** The cut on the way between two controllers, or null. */
+    Cut cutBetweenNodes(String a, String b) {
+        if (!nodes.containsKey(a) || !nodes.containsKey(b)) {
+            return null;
+        }
+        String from = nodes.get(a).settings.bind();
+        String to = nodes.get(b).settings.bind();
+        String zone = cutBetween(from, to);
+        return zone != null ? cutZones.get(zone) : cuts.get(link(from, to));
+    }
+
     private static String link(String a, String b) {
         return a.compareTo(b) < 0 ? a + "~" + b : b + "~" + a;
     }
@@ -308,6 +331,7 @@
             }
             life = new Life();
             servers.put(settings.bind(), this);
+            life.startStandby();
             life.controller.start();
             note("start " + settings.node());
         }
@@ -318,6 +342,7 @@
             }
             life.dead = true;
             life = null;
+            wires.ended(settings.node());
             mute = false;
             still = false;
             unsent.clear();
@@ -383,6 +408,13 @@
             private final Controller controller =
                     new Controller(this, this, isOld ? oldSettings : settings, Operator.DEFAULTS);
 
+            void startStandby() {
+                if (withStandby && !isOld && !withoutStandby.contains(settings.node())) {
+                    PeerNetwork network = wires.of(settings.node(), () -> !dead, what -> act(this, what));
+                    new WarmStandby(controller.standbyHost(), network, settings, StandbySettings.OFF).start();
+                }
+            }
+
             @Override
             public Instant now() {
                 return Instant.EPOCH.plusNanos(
@@ -416,6 +448,11 @@
         addNode(s, null);
     }
 
+    /** A controller that runs elsewhere: workers and users know its address. */
+    void addRemoteNode(Settings s) {
+        nodes.put(s.node(), new Node(s));
+    }
+
     /** A controller of this version or, where {@code oldSettings} are given, of the one before until it is upgraded. */
     void addNode(Settings s, Settings oldSettings) {
         Node n = new Node(s);
