--- a/src/test/java/org/havenford/coordination/DecisionsTest.java
+++ b/src/test/java/org/havenford/coordination/DecisionsTest.java
@@ -79,6 +79,17 @@
                 Operator.BadSetting.class,
                 () -> Operator.read(write(dir, "<havenford><speed-first>red</speed-first></havenford>")));
         assertThrows(Operator.BadSetting.class, () -> Operator.read(write(dir, "<havenford>")));
+        assertTrue(Operator.read(write(dir, "<havenford><standby>on</standby></havenford>"))
+                .standby()
+                .enabled());
+        for (String bad : new String[] {
+            "<havenford><standby>yes</standby></havenford>",
+            "<havenford><standby-challenge-ms>1</standby-challenge-ms></havenford>",
+            "<havenford><standby-heartbeat-ms>400</standby-heartbeat-ms></havenford>"
+        }) {
+            Operator.BadSetting e = assertThrows(Operator.BadSetting.class, () -> Operator.read(write(dir, bad)));
+            assertTrue(e.getMessage().contains("<standby"), e.getMessage());
+        }
         assertThrows(Operator.BadSetting.class, () -> Operator.read(write(dir, "<!DOCTYPE x><havenford/>")));
     }
 
--- /dev/null
+++ b/src/test/java/org/havenford/standby/FakeHost.java
@@ -0,0 +1,96 @@
+package org.havenford.standby;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.havenford.coordination.MachineNote;
+import org.havenford.coordination.StandbyHost;
+import org.havenford.coordination.View;
+import org.havenford.transport.EventLoop;
+
+/** A controller that stands still in time until told otherwise, and forgets timers. */
+final class FakeHost implements StandbyHost, EventLoop {
+    private Instant now = Instant.EPOCH;
+
+    void pass(Duration time) {
+        now = now.plus(time);
+    }
+
+    @Override
+    public Instant now() {
+        return now;
+    }
+
+    @Override
+    public Instant timeOfDay() {
+        return now;
+    }
+
+    @Override
+    public void after(Duration delay, Runnable task) {}
+
+    @Override
+    public EventLoop loop() {
+        return this;
+    }
+
+    @Override
+    public void eventBegins() {}
+
+    @Override
+    public void observe(Observer observer) {}
+
+    @Override
+    public View view() {
+        return View.empty();
+    }
+
+    @Override
+    public long incarnation() {
+        return 3;
+    }
+
+    @Override
+    public boolean entitled() {
+        return true;
+    }
+
+    @Override
+    public long replicaEdition() {
+        return 0;
+    }
+
+    @Override
+    public long viewStamp() {
+        return 0;
+    }
+
+    @Override
+    public boolean evictionPermitted(String node) {
+        return true;
+    }
+
+    @Override
+    public void challenge(String node, long incarnation, LongConsumer asked) {}
+
+    @Override
+    public void withdrawChallenge(String node, long stamp) {}
+
+    @Override
+    public void evict(String node, long incarnation, long challengeStamp, Consumer<Boolean> done) {}
+
+    @Override
+    public List<MachineNote> machineNotes() {
+        return List.of();
+    }
+
+    @Override
+    public int urgency(String machine) {
+        return 0;
+    }
+
+    @Override
+    public void contact(MachineNote note) {}
+}
--- /dev/null
+++ b/src/test/java/org/havenford/world/RenderBurst.java
@@ -0,0 +1,50 @@
+package org.havenford.world;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.havenford.protocol.Json;
+
+/** Two hundred queued renders on three controllers in real time: what tests and measurements of take-overs share. */
+final class RenderBurst {
+    static final String STANDBY_ON = "<havenford><standby>on</standby></havenford>";
+    static final String STANDBY_OFF = "<havenford><standby>off</standby></havenford>";
+    /** Longer than any take-over takes: an assertion that waits fails only when nothing happens at all. */
+    static final double PATIENCE_SECONDS = 60;
+
+    static final int RENDERS = 200;
+    private static final int RENDERS_PER_JOB = 10;
+    private static final String TEAM = "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0}";
+    private static final List<String> ZONES = List.of("a", "b", "c");
+
+    private RenderBurst() {}
+
+    /** Three controllers and so many machines whose workers have all been answered. */
+    static LoopbackWorld start(Path directory, String operatorXml, int machines)
+            throws IOException, Json.BadMessage, InterruptedException {
+        LoopbackWorld loopback = new LoopbackWorld(directory, 3, TEAM, operatorXml);
+        loopback.world.cloud.perOffer = machines / ZONES.size();
+        for (int i = 0; i < machines; i++) {
+            loopback.world.cloud.boot("large", ZONES.get(i % ZONES.size()), false, Duration.ofMillis(500));
+        }
+        boolean ready = loopback.runUntil(
+                () -> loopback.world.workers.values().stream().allMatch(w -> w.token > 0), PATIENCE_SECONDS);
+        assertTrue(ready, "the controllers did not come up");
+        return loopback;
+    }
+
+    /** Two hundred tasks of four CPUs each. */
+    static void submit(LoopbackWorld loopback, int firstJob, double runSeconds) {
+        for (int i = 0; i < RENDERS / RENDERS_PER_JOB; i++) {
+            loopback.world.users.submit(
+                    "j-" + (firstJob + i), "red", RENDERS_PER_JOB, 4, runSeconds, List.of("image-gb=0.2"));
+        }
+    }
+
+    static boolean allDone(LoopbackWorld loopback) {
+        return loopback.world.users.jobs.values().stream().allMatch(job -> job.doneTold != null);
+    }
+}
--- a/src/test/java/org/havenford/world/Worker.java
+++ b/src/test/java/org/havenford/world/Worker.java
@@ -38,6 +38,7 @@
     long session = 1;
     private long seq;
     long token;
+    private final List<Instant> tokenRaisedAt = new ArrayList<>();
     final Map<String, Task> tasks = new LinkedHashMap<>();
     private final Set<String> images = new HashSet<>();
     private Instant lease;
@@ -88,6 +89,15 @@
         return up && List.copyOf(world.nodes.keySet()).get(target).equals(node);
     }
 
+    /** When the worker first saw a higher token after a second of the day. */
+    Instant firstTokenAfter(double second) {
+        Instant from = Instant.EPOCH.plusMillis((long) (second * 1000));
+        return tokenRaisedAt.stream()
+                .filter(at -> !at.isBefore(from))
+                .findFirst()
+                .orElse(Instant.MAX);
+    }
+
     boolean up() {
         return up;
     }
@@ -251,6 +261,7 @@
 
     private void obey(JsonObject o) {
         if (o.get("baton").getAsLong() > token) {
+            tokenRaisedAt.add(world.now);
             token = o.get("baton").getAsLong();
             changed = true;
         }
