--- a/src/test/java/org/havenford/world/LoopbackWorld.java
+++ b/src/test/java/org/havenford/world/LoopbackWorld.java
@@ -4,6 +4,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -36,6 +37,10 @@
 final class LoopbackWorld implements AutoCloseable {
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(70);
     private static final String HOST = "127.0.0.1";
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+    /** Worlds of other processes begin elsewhere. */
+    private static int nextPort = (int) (ProcessHandle.current().pid() * 397 % PORTS);
 
     final World world;
     final Map<String, ControllerProcess> controllers = new LinkedHashMap<>();
@@ -99,18 +104,15 @@
                 node, 'a' + node % 3, binds.get(node), peers.get(node), others, cloud, state, teams);
     }
 
-    private static List<String> freeAddresses(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+    /** Ports below those that the system gives to outgoing connections, which could take one before it is listened on. */
+    private static synchronized List<String> freeAddresses(int count) throws IOException {
         List<String> addresses = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST));
-                sockets.add(socket);
+        while (addresses.size() < count) {
+            int port = FIRST_PORT + nextPort++ % PORTS;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
                 addresses.add(HOST + ":" + socket.getLocalPort());
-            }
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
+            } catch (BindException e) {
+                // Somebody else listens there.
             }
         }
         return addresses;
