--- a/src/main/java/org/havenford/coordination/StandbyAccess.java
+++ b/src/main/java/org/havenford/coordination/StandbyAccess.java
@@ -5,6 +5,7 @@
 import java.util.function.LongConsumer;
 import org.havenford.bookkeeping.Claim;
 import org.havenford.bookkeeping.Job;
+import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Ledger;
 import org.havenford.bookkeeping.Replica;
 import org.havenford.bookkeeping.StateStore;
@@ -105,6 +106,11 @@
         evictions.challenge(node, incarnation, asked);
     }
 
+    @Override
+    public boolean challengeStands(String node, long stamp) {
+        return replica.stamp(Keys.challenge(node)) == stamp;
+    }
+
     @Override
     public void withdrawChallenge(String node, long stamp) {
         evictions.withdraw(node, stamp);
--- a/src/main/java/org/havenford/coordination/StandbyHost.java
+++ b/src/main/java/org/havenford/coordination/StandbyHost.java
@@ -47,6 +47,9 @@
     /** Asks a member through the state service whether it is alive; tells the stamp of the question, 0 if it failed. */
     void challenge(String node, long incarnation, LongConsumer asked);
 
+    /** Whether a question still stands, as far as the replica shows: nobody has answered, replaced or withdrawn it. */
+    boolean challengeStands(String node, long stamp);
+
     /** Takes a question back. */
     void withdrawChallenge(String node, long stamp);
 
--- a/src/main/java/org/havenford/standby/TakeoverConductor.java
+++ b/src/main/java/org/havenford/standby/TakeoverConductor.java
@@ -164,6 +164,11 @@
         attempt.phase = Phase.EVICTING;
         Duration after = Duration.between(attempt.since, host.loop().now());
         host.evict(node, attempt.incarnation, attempt.challengeStamp, committed -> {
+            if (!committed && host.challengeStands(node, attempt.challengeStamp)) {
+                // The view has changed meanwhile, as by a move of machines: the question is as good under the new one.
+                attempt.phase = Phase.WAITING;
+                return;
+            }
             attempts.remove(node, attempt);
             if (committed) {
                 LOG.info("{} was evicted {} ms after it was suspected", node, after.toMillis());
--- a/src/test/java/org/havenford/standby/FakeHost.java
+++ b/src/test/java/org/havenford/standby/FakeHost.java
@@ -11,7 +11,7 @@
 import org.havenford.transport.EventLoop;
 
 /** A controller that stands still in time until told otherwise, and forgets timers. */
-final class FakeHost implements StandbyHost, EventLoop {
+class FakeHost implements StandbyHost, EventLoop {
     private Instant now = Instant.EPOCH;
 
     void pass(Duration time) {
@@ -75,6 +75,11 @@
     @Override
     public void challenge(String node, long incarnation, LongConsumer asked) {}
 
+    @Override
+    public boolean challengeStands(String node, long stamp) {
+        return true;
+    }
+
     @Override
     public void withdrawChallenge(String node, long stamp) {}
 
