--- a/src/main/java/org/havenford/bookkeeping/Keys.java
+++ b/src/main/java/org/havenford/bookkeeping/Keys.java
@@ -12,7 +12,6 @@
     public static final String MACHINE_STATUSES = "live/heard/";
     public static final String TEAMS = "live/team/";
     public static final String BOOKINGS = "live/booking/";
-    public static final String LIMITS = "live/limit/";
     public static final String CHALLENGES = "live/challenge/";
     public static final String FINALS = "final/";
 
@@ -44,11 +43,6 @@
         return TEAMS + name.replaceAll("[^A-Za-z0-9_.-]", "_");
     }
 
-    /** Key that changes when a team's accounts are written by others than their holders: every claim is guarded by it. */
-    public static String limit(String name) {
-        return LIMITS + team(name).substring(TEAMS.length());
-    }
-
     /** Key of a member's registration, attached to its lease. */
     public static String member(String node) {
         return MEMBERS + node;
--- a/src/main/java/org/havenford/bookkeeping/Ledger.java
+++ b/src/main/java/org/havenford/bookkeeping/Ledger.java
@@ -14,12 +14,11 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.havenford.bookkeeping.MachineRecord.Condition;
+import org.havenford.bookkeeping.Quota.Amount;
 import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.Json;
 import org.havenford.protocol.MachineType;
 import org.havenford.protocol.TaskId;
-import org.havenford.quota.Accounts;
-import org.havenford.quota.Amount;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -78,6 +77,8 @@
         void loaded();
     }
 
+    private static final Quota NO_QUOTA = new Quota();
+
     /** In order, so that all controllers go through them alike; and by id, since nothing is looked up as often. */
     private final TreeMap<String, Job> jobs = new TreeMap<>();
 
@@ -101,7 +102,7 @@
     /** By team and account. */
     private final Map<String, Map<String, Amount>> charged = new HashMap<>();
 
-    private final Map<String, Accounts> accounts = new HashMap<>();
+    private final Map<String, Quota> quotas = new HashMap<>();
     private Observer observer;
 
     /** Sets who is told of changes. */
@@ -204,22 +205,9 @@
         return charged.getOrDefault(team, Map.of()).getOrDefault(account, Amount.NONE);
     }
 
-    /** The accounts of a team's limit. */
-    public Accounts accounts(String team) {
-        return accounts.getOrDefault(Keys.team(team), Accounts.EMPTY);
-    }
-
-    /** Accounts to which the claims of a team are charged. */
-    public Set<String> chargedAccounts(String team) {
-        return charged.getOrDefault(team, Map.of()).keySet();
-    }
-
-    private void accountsChanged(String key, JsonObject value) throws Json.BadMessage {
-        if (value == null) {
-            accounts.remove(key);
-        } else {
-            accounts.put(key, Accounts.parse(value));
-        }
+    /** The shares of a team's limit. */
+    public Quota quota(String team) {
+        return quotas.getOrDefault(Keys.team(team), NO_QUOTA);
     }
 
     private void charge(Claim c, JobSpec s, int sign) {
@@ -232,10 +220,6 @@
         try {
             apply(key, value == null ? null : value.getAsJsonObject(), stamp);
         } catch (Json.BadMessage | IllegalStateException | IllegalArgumentException e) {
-            if (key.startsWith(Keys.TEAMS)) {
-                // What was read before must not be used under the new stamp: it would grant from a limit twice.
-                accounts.put(key, Accounts.UNREADABLE);
-            }
             LOG.error("the value of {} can't be read: {}", key, e.getMessage());
         }
     }
@@ -260,7 +244,11 @@
                 bookings.put(name, Booking.parse(name, value));
             }
         } else if (key.startsWith(Keys.TEAMS)) {
-            accountsChanged(key, value);
+            if (value == null) {
+                quotas.remove(key);
+            } else {
+                quotas.put(key, Quota.parse(value));
+            }
         } else if (key.startsWith(Keys.MEMBERS)) {
             observer.memberChanged(key.substring(Keys.MEMBERS.length()), value, stamp);
         } else if (key.startsWith(Keys.CHALLENGES)) {
--- a/src/main/java/org/havenford/coordination/Claims.java
+++ b/src/main/java/org/havenford/coordination/Claims.java
@@ -15,10 +15,10 @@
 import org.havenford.bookkeeping.Claim;
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Quota.Amount;
 import org.havenford.bookkeeping.StateStore;
 import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.Settings;
-import org.havenford.quota.Amount;
 
 /** Turns the planner's placements on this controller's machines into claims, one transaction a record of tasks. */
 final class Claims {
--- a/src/main/java/org/havenford/coordination/JobOrder.java
+++ b/src/main/java/org/havenford/coordination/JobOrder.java
@@ -11,9 +11,9 @@
 import java.util.Set;
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.Quota.Amount;
 import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.Settings;
-import org.havenford.quota.Amount;
 
 /**
  * The order in which jobs are served: what has waited too long without a start, then work within its team's guarantee, then
--- a/src/main/java/org/havenford/coordination/Operator.java
+++ b/src/main/java/org/havenford/coordination/Operator.java
@@ -21,8 +21,7 @@
         double spareShare,
         Duration silentBeforeReturn,
         SpeedFirst speedFirst,
-        StandbySettings standby,
-        boolean limitTransfers) {
+        StandbySettings standby) {
 
     public static final Operator DEFAULTS = new Builder().build();
 
@@ -94,7 +93,6 @@
         private Duration silentBeforeReturn = Duration.ofSeconds(30);
         private SpeedFirst speedFirst = SpeedFirst.UNMETERED;
         private StandbySettings standby = StandbySettings.OFF;
-        private boolean limitTransfers;
 
         /** Unknown elements are ignored, as unknown fields are elsewhere. */
         void set(String name, String text) throws BadSetting {
@@ -107,7 +105,6 @@
                 case "spare-share" -> spareShare = number(name, text, 0, 10);
                 case "silent-before-return-s" -> silentBeforeReturn = seconds(name, text, 5, 3600);
                 case "speed-first" -> speedFirst = speedFirst(name, text);
-                case "limit-transfers" -> limitTransfers = onOrOff(name, text);
                 case "standby" -> standby = standby.enabled(onOrOff(name, text));
                 case "standby-heartbeat-ms" -> standby = standby.withHeartbeat(millis(name, text, 50, 2000));
                 case "standby-suspect-ms" -> standby = standby.withSuspectAfter(millis(name, text, 200, 10_000));
@@ -130,8 +127,7 @@
                     spareShare,
                     silentBeforeReturn,
                     speedFirst,
-                    standby,
-                    limitTransfers);
+                    standby);
         }
     }
 
--- a/src/main/java/org/havenford/coordination/Planner.java
+++ b/src/main/java/org/havenford/coordination/Planner.java
@@ -22,11 +22,11 @@
 import org.havenford.bookkeeping.Keys;
 import org.havenford.bookkeeping.Ledger;
 import org.havenford.bookkeeping.MachineRecord;
+import org.havenford.bookkeeping.Quota.Amount;
 import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.MachineType;
 import org.havenford.protocol.Settings;
 import org.havenford.protocol.TaskId;
-import org.havenford.quota.Amount;
 
 /**
  * Decides what should run where, from a snapshot. Every controller plans for the whole fleet and claims only on the
--- a/src/main/java/org/havenford/coordination/PlanningRound.java
+++ b/src/main/java/org/havenford/coordination/PlanningRound.java
@@ -9,9 +9,9 @@
 import java.util.Set;
 import org.havenford.bookkeeping.Job;
 import org.havenford.bookkeeping.Ledger;
+import org.havenford.bookkeeping.Quota.Amount;
 import org.havenford.protocol.JobSpec;
 import org.havenford.protocol.TaskId;
-import org.havenford.quota.Amount;
 
 /**
  * What one round of the planner has decided so far, and what it decides on. Everything that a pass counts stands here, so
--- a/src/main/java/org/havenford/coordination/Scheduler.java
+++ b/src/main/java/org/havenford/coordination/Scheduler.java
@@ -27,7 +27,7 @@
         this.context = context;
         this.pipelines = pipelines;
         planner = new Planner(context.ledger(), context.settings(), operator, context.membership()::owner);
-        shares = new TeamShares(context, operator.limitTransfers());
+        shares = new TeamShares(context);
         claims = new Claims(context, fleet, planner, operator.roundBudget(), shares);
         ends = new JobEnds(context);
         releases = new TaskReleases(context, fleet, ends);
--- a/src/main/java/org/havenford/coordination/TeamShares.java
+++ b/src/main/java/org/havenford/coordination/TeamShares.java
@@ -1,54 +1,41 @@
 package org.havenford.coordination;
 
-import com.google.gson.JsonObject;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import org.havenford.bookkeeping.Keys;
+import org.havenford.bookkeeping.Quota;
+import org.havenford.bookkeeping.Quota.Amount;
 import org.havenford.bookkeeping.StateStore;
 import org.havenford.protocol.Settings;
-import org.havenford.quota.AccountPolicy;
-import org.havenford.quota.Accounts;
-import org.havenford.quota.Amount;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
- * This controller's accounts of the teams' limits. Each claim is charged to the account of the controller that makes it; only
- * that controller adds to what is charged to it, so it knows the sum, or more, and only it lowers its account while it is a
- * member. All claims of a team are then within the accounts, and those within the limit. Proof: docs/limits.md.
+ * This controller's shares of the teams' limits. Each claim is guarded by the stamp of the shares, and charged to the share
+ * of the controller that makes it; only that controller adds to what is charged to it, so it knows the sum, or more. All
+ * claims of a team are then within the shares, and those within the limit.
  */
 final class TeamShares {
-    private static final Logger LOG = LoggerFactory.getLogger(TeamShares.class);
-    private static final Duration SETTLE_EVERY = Duration.ofSeconds(1);
-    private static final Duration SETTLE_EVERY_WITH_TRANSFERS = Duration.ofMillis(150);
-    /** A need that was not felt for this long is over. */
-    private static final Duration NEED_LASTS = Duration.ofSeconds(1);
-    /** Tasks that a controller names as its need at the most: what it gets it must be able to use at once. */
-    private static final int MOST_TASKS_NEEDED = 4;
-
-    /** What this controller lacks of a team's limit, since when by the time of day, and when it was felt last. */
-    private record Lack(Instant since, Instant felt, Amount amount) {}
+    private static final Duration REBALANCE_EVERY = Duration.ofSeconds(1);
+    /** Parts of an even share of a team's limit in which shares are taken. */
+    private static final int LUMPS = 4;
+    /** Part of what this controller can spare that it gives back while another is short. */
+    private static final double GIVEN_BACK = 0.5;
+    /** Stands for no limit, and leaves room for sums. */
+    private static final double UNLIMITED = Double.MAX_VALUE / 4;
 
     /** Claims under way, or without an answer: they count until they are seen or ruled out. */
     record Charge(String team, Amount amount, String job, String key, long stamp, long viewStamp) {}
 
     private final SchedulingContext context;
     private final List<Charge> charges = new ArrayList<>();
-    private final Map<String, Lack> lacks = new HashMap<>();
-    /** Records for which a change of our own has no answer, with the stamp that it was guarded by. */
-    private final Map<String, Long> unanswered = new HashMap<>();
-
-    private final boolean transfers;
-    private Instant nextSettling = Instant.MIN;
+    private final Set<String> shortTeams = new HashSet<>();
+    private Instant nextRebalance = Instant.MIN;
 
-    /** With {@code transfers}, accounts hand over directly what another has named as its need. */
-    TeamShares(SchedulingContext context, boolean transfers) {
+    TeamShares(SchedulingContext context) {
         this.context = context;
-        this.transfers = transfers;
     }
 
     void add(Charge charge) {
@@ -81,17 +68,14 @@
         return sum;
     }
 
-    private AccountPolicy policy(Settings.Team team) {
-        Amount ceiling = new Amount(
-                team.cpusMax() > 0 ? team.cpusMax() : Amount.UNLIMITED,
-                team.cardsMax() > 0 ? team.cardsMax() : Amount.UNLIMITED);
-        int members = context.membership().view().members().size();
-        return new AccountPolicy(ceiling, members, transfers);
+    private static Amount limit(Settings.Team team) {
+        return new Amount(
+                team.cpusMax() > 0 ? team.cpusMax() : UNLIMITED, team.cardsMax() > 0 ? team.cardsMax() : UNLIMITED);
     }
 
     /**
-     * How many of the wanted claims our account of the team's limit allows. The guard on the accounts, and where needed what
-     * is taken from the pool, become part of the claim's transaction.
+     * How many of the wanted claims our share of the team's limit allows. The guard on the shares, and where needed a
+     * larger share taken from what is free, become part of the claim's transaction.
      */
     int take(Settings.Team team, Amount one, int wanted, StateStore.Txn txn) {
         String key = Keys.team(team.name());
@@ -99,129 +83,97 @@
             // A former life of this node may have made claims that our replica does not show yet.
             return 0;
         }
-        guardLimit(team, txn);
-        Accounts accounts = context.ledger().accounts(team.name());
-        if (mayBeLowered(key)) {
-            return 0;
-        }
-        AccountPolicy.Grant grant = policy(team).grant(accounts, context.node(), held(team.name()), one, wanted);
-        if (!transfers || grant.next() != null) {
-            txn.guard(key, context.stamp(key));
+        txn.guard(key, context.stamp(key));
+        Quota quota = context.ledger().quota(team.name());
+        Amount held = held(team.name());
+        Amount share = quota.share(context.node());
+        if (held.plus(one.times(wanted)).within(share)) {
+            return wanted;
         }
-        if (grant.allowed() < wanted) {
-            lacks(team.name(), one.times(Math.min(MOST_TASKS_NEEDED, wanted - grant.allowed())));
+        Amount free = limit(team).minus(quota.dealt()).most(Amount.NONE);
+        Amount aim =
+                held.plus(one.times(wanted)).plus(lump(team)).most(lump(team).times(LUMPS));
+        Amount next = share.plus(aim.minus(share).most(Amount.NONE).least(free));
+        int allowed = wanted;
+        while (allowed > 0 && !held.plus(one.times(allowed)).within(next)) {
+            allowed--;
         }
-        if (grant.next() != null) {
-            txn.set(key, grant.next().toJson());
+        if (allowed < wanted) {
+            shortTeams.add(team.name());
         }
-        return grant.allowed();
-    }
-
-    /** Who writes the accounts of others, as a rebuild does, changes this key: what was decided before it then fails. */
-    private void guardLimit(Settings.Team team, StateStore.Txn txn) {
-        String limit = Keys.limit(team.name());
-        txn.guard(limit, context.stamp(limit));
-    }
-
-    /**
-     * A change of the accounts without an answer may have lowered our own, or may yet. It is ruled out, or known, once the
-     * record has another stamp than it was guarded by.
-     */
-    private boolean mayBeLowered(String key) {
-        Long guarded = unanswered.get(key);
-        if (guarded != null && context.stamp(key) != guarded) {
-            unanswered.remove(key);
-            guarded = null;
+        if (allowed > 0 && !held.plus(one.times(allowed)).within(share)) {
+            Quota taken = quota.with(context.node(), next).withShort(context.node(), allowed < wanted);
+            txn.set(key, taken.toJson());
         }
-        return guarded != null;
+        return allowed;
     }
 
-    private void lacks(String team, Amount amount) {
-        Lack before = lacks.get(team);
-        Instant since = before == null ? context.loop().timeOfDay() : before.since();
-        lacks.put(team, new Lack(since, context.loop().now(), amount));
+    /** What a controller takes beyond its need, so that not each claim has to write the shares. */
+    private Amount lump(Settings.Team team) {
+        int members = Math.max(1, context.membership().view().members().size());
+        double part = 1.0 / (LUMPS * members);
+        return new Amount(team.cpusMax() * part, team.cardsMax() * part);
     }
 
     /**
-     * Names what this controller needs, hands over what it can spare, and takes back what controllers held that are gone. Each
-     * change of the accounts fails the team's claims that are under way, so there are none without need.
+     * Gives back what can be spared while another controller is short, and what controllers held that are gone. Each change
+     * of the shares fails the team's claims that are under way, so there are none without need.
      */
     void rebalance(Instant now) {
-        if (now.isBefore(nextSettling) || !context.membership().sawAllBeforeView()) {
+        if (now.isBefore(nextRebalance) || !context.membership().sawAllBeforeView()) {
             return;
         }
-        nextSettling = now.plus(transfers ? SETTLE_EVERY_WITH_TRANSFERS : SETTLE_EVERY);
-        lacks.values().removeIf(lack -> !now.isBefore(lack.felt().plus(NEED_LASTS)));
+        nextRebalance = now.plus(REBALANCE_EVERY);
         for (Settings.Team team : context.settings().teams().values()) {
             String key = Keys.team(team.name());
             if (team.limited() && !context.writer().isLocked(key)) {
                 rebalance(team, key);
             }
         }
+        shortTeams.clear();
     }
 
     private void rebalance(Settings.Team team, String key) {
-        Accounts accounts = context.ledger().accounts(team.name());
-        boolean first = context.node().equals(context.membership().view().first());
-        Accounts next = accounts.readable() ? settled(team, accounts) : accounts;
-        if (mayBeLowered(key) && next == accounts) {
-            // Written again as it is: one of both comes first, and rules the other out.
-            next = accounts.withShort(context.node(), accounts.shortOf().contains(context.node()));
+        Quota quota = context.ledger().quota(team.name());
+        Quota next = withOwnShare(team, quota);
+        if (context.node().equals(context.membership().view().first())) {
+            next = withoutFormerMembers(team, quota, next);
         }
-        if (first) {
-            next = accounts.readable() ? withoutFormerMembers(team, accounts, next) : rebuilt(team, key, accounts);
-        }
-        if (next != accounts) {
+        if (next != quota) {
             StateStore.Txn txn = new StateStore.Txn()
                     .guard(Keys.VIEW, context.membership().viewStamp())
                     .guard(key, context.stamp(key))
                     .set(key, next.toJson());
-            boolean unreadable = !accounts.readable();
-            if (unreadable) {
-                String limit = Keys.limit(team.name());
-                txn.guard(limit, context.stamp(limit)).set(limit, new JsonObject());
-            }
-            long stamp = context.stamp(key);
-            context.writer().commit(txn, StateStore.Urgency.WORK, List.of(key), () -> {}, result -> {
-                if (result.outcome() == StateStore.Outcome.UNKNOWN) {
-                    unanswered.put(key, stamp);
-                }
-            });
+            context.writer().commit(txn, StateStore.Urgency.WORK, List.of(key), () -> {});
         }
     }
 
-    private Accounts settled(Settings.Team team, Accounts accounts) {
-        Lack lack = lacks.get(team.name());
-        Accounts.Need need =
-                lack == null ? null : new Accounts.Need(lack.since().toEpochMilli(), lack.amount());
-        long now = context.loop().timeOfDay().toEpochMilli();
-        AccountPolicy.Self self = new AccountPolicy.Self(context.node(), held(team.name()), need, now);
-        return policy(team).settle(accounts, self, node -> context.ledger().charged(team.name(), node));
-    }
-
-    /**
-     * A record that can't be read is written anew from the claims. Under its stamp nobody grants anything, so a copy that has
-     * passed it holds all claims that there are. unreadable-accounts.trace
-     */
-    private Accounts rebuilt(Settings.Team team, String key, Accounts unreadable) {
-        if (context.replica().edition() < context.stamp(key)) {
-            return unreadable;
+    private Quota withOwnShare(Settings.Team team, Quota quota) {
+        String self = context.node();
+        Quota next = quota;
+        Amount held = held(team.name());
+        Amount share = quota.share(self);
+        boolean isShort = shortTeams.contains(team.name());
+        if (isShort != quota.shortOf().contains(self)) {
+            next = next.withShort(self, isShort);
         }
-        Accounts next = Accounts.EMPTY;
-        for (String holder : context.ledger().chargedAccounts(team.name())) {
-            next = next.with(holder, context.ledger().charged(team.name(), holder));
+        boolean othersShort = quota.shortOf().stream().anyMatch(n -> !n.equals(self));
+        Amount spare = share.minus(held).most(Amount.NONE);
+        if (othersShort && !isShort && !spare.within(Amount.NONE)) {
+            // A part of it, or all where it is little: tasks of our own come in as well.
+            boolean little = spare.within(lump(team));
+            next = next.with(self, little ? held.least(share) : share.minus(spare.times(GIVEN_BACK)));
         }
-        LOG.error("the accounts of {} can't be read: they are rebuilt from its claims, {}", team.name(), next.toJson());
         return next;
     }
 
-    private Accounts withoutFormerMembers(Settings.Team team, Accounts accounts, Accounts changed) {
-        Accounts next = changed;
-        for (String holder : List.copyOf(accounts.holders())) {
+    private Quota withoutFormerMembers(Settings.Team team, Quota quota, Quota changed) {
+        Quota next = changed;
+        for (String holder : quota.holders()) {
             Amount charged = context.ledger().charged(team.name(), holder);
             boolean isMember = context.membership().view().members().containsKey(holder);
-            if (!isMember && !accounts.share(holder).within(charged)) {
-                next = next.with(holder, charged.least(accounts.share(holder))).withShort(holder, false);
+            if (!isMember && !quota.share(holder).within(charged)) {
+                next = next.with(holder, charged.least(quota.share(holder))).withShort(holder, false);
             }
         }
         return next;
