--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -77,6 +77,9 @@
         }
     }
 
+    /** Exit code of a run that broke a rule; run.sh turns it into 1, which is also that of a program that fails. */
+    private static final int RULE_BROKEN = 10;
+
     final World world;
     final Config config;
     final Web web;
@@ -188,10 +191,10 @@
         exit(2);
     }
 
-    /** Ends the run: 1 if a rule was broken, else 0. */
+    /** Ends the run. */
     void finish() {
         world.say("%d starts, %d rules broken", rules.starts, rules.broken.size());
-        exit(rules.broken.isEmpty() ? 0 : 1);
+        exit(rules.broken.isEmpty() ? 0 : RULE_BROKEN);
     }
 
     private void exit(int code) {
--- a/review/standins/StateService.java
+++ b/review/standins/StateService.java
@@ -39,6 +39,7 @@
     private final ArrayDeque<Change> changes = new ArrayDeque<>();
     private final Map<Long, Hold> holds = new HashMap<>();
     private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, Double> renewals = new HashMap<>();
     private long edition;
     private long forgotten;
     private long lastPermit;
@@ -83,6 +84,13 @@
         }
     }
 
+    /** When a controller last renewed its lease; 0 if it never has. */
+    double lastRenewal(String node) {
+        synchronized (world) {
+            return renewals.getOrDefault(node, 0.0);
+        }
+    }
+
     JsonElement value(String key) {
         synchronized (world) {
             return values.containsKey(key) ? values.get(key).json() : null;
@@ -301,6 +309,7 @@
             endHold(permit);
         } else {
             hold.end = world.now() + hold.life;
+            renewals.put(node, world.now());
         }
         return new Web.Reply(200, "{}");
     }
