--- a/review/1/AcceptedThenForgotten.java
+++ b/review/1/AcceptedThenForgotten.java
@@ -46,6 +46,6 @@
             }
         }
         site.world.say("%d jobs accepted, %d of them never ran", accepted, lost);
-        site.finish();
+        site.finish("forgotten");
     }
 }
--- a/review/standins/Users.java
+++ b/review/standins/Users.java
@@ -214,6 +214,7 @@
         }
         request(node, "GET", "/submissions/" + job.id, null, 2).thenAccept(reply -> {
             synchronized (world) {
+                world.record("USER polls %s at %s: %d %s", job.id, node, reply.status(), reply.body());
                 if (reply.status() == 200) {
                     job.lastAnswerAt = world.now();
                     told(job, reply.json().get("status").getAsString());
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -53,6 +53,7 @@
     private boolean changed;
     private double nextReport;
     private double lastReport = -10;
+    private double lastTokenChange = -1e9;
     private boolean gone;
 
     Worker(World world, Config config, Web web, Users users, Rules rules, Map<String, String> binds, String name,
@@ -182,6 +183,7 @@
 
     private void answered(String node, Web.Reply reply, double sent, long sentShift) {
         inFlight = false;
+        world.record("REPORT %s to %s, sent %.3f: %d", name, node, sent, reply.status());
         if (gone) {
             return;
         }
@@ -240,7 +242,11 @@
         long token = json.get("baton").getAsLong();
         if (Long.compareUnsigned(token, baton) > 0) {
             baton = token;
-            changed = true;
+            if (world.now() >= lastTokenChange + config.leaseS / 2) {
+                // A higher token counts as a change at most once in half of a lease.
+                lastTokenChange = world.now();
+                changed = true;
+            }
         }
         for (JsonElement element : json.getAsJsonArray("cues")) {
             JsonObject cue = element.getAsJsonObject();
