A request whose body comes after its head gets the answer of its handler

What callers saw: a submission or a cancellation whose body arrived in a packet after the head was answered with an empty 200 at once, stored or not.

Cause: Undertow's receiver hands over a body that was not there at once from a read listener, within a call of its own (Connectors.executeRootHandler). When that call returns and no task was dispatched, Undertow ends the exchange with the response as it is by then: status 200, no body. The handler answers later, after the store has; that answer was dropped. Evidence: a stack trace taken where the exchange completes, in a scratch copy, comes from HttpServerExchange.endExchange called by Connectors.executeRootHandler and the receiver's listener, with status 200, before the handler has answered. What was answered within the call (400, heartbeats, health) was right, as was everything that came in one packet.

Change: the receiver's callbacks dispatch the exchange, so that it stays open until the handler answers. An exchange that ends without an answer for any other reason has the status 500 in place of 200.

--- a/src/main/java/org/havenford/transport/HttpServer.java
+++ b/src/main/java/org/havenford/transport/HttpServer.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.function.Consumer;
@@ -85,6 +86,8 @@
     }
 
     private void receive(HttpServerExchange exchange, Handler handler) {
+        // The status that Undertow sends if an exchange ends without a response; its default is 200.
+        exchange.setStatusCode(StatusCodes.INTERNAL_SERVER_ERROR);
         String method = exchange.getRequestMethod().toString();
         String path = exchange.getRequestPath();
         if (method.equals("GET")) {
@@ -94,14 +97,22 @@
         exchange.getRequestReceiver().setMaxBufferSize(MAX_BODY_BYTES);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (e, bytes) -> handle(
+                        (e, bytes) -> dispatch(
                                 e, handler, new Request(method, path, bytes.length > MAX_BODY_BYTES ? null : bytes)),
                         (e, exception) -> {
                             e.setPersistent(false);
-                            handle(e, handler, new Request(method, path, null));
+                            dispatch(e, handler, new Request(method, path, null));
                         });
     }
 
+    /**
+     * Passes a request to the handler outside of the receiver's callback. When a callback for a body that arrived after
+     * the head returns, Undertow ends the exchange unless a task was dispatched, even if the response is still to come.
+     */
+    private void dispatch(HttpServerExchange exchange, Handler handler, Request request) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> handle(exchange, handler, request));
+    }
+
     private void handle(HttpServerExchange exchange, Handler handler, Request request) {
         try {
             handler.handle(request, response -> respond(exchange, response));
--- /dev/null
+++ b/src/test/java/org/havenford/simulator/LoopbackApiTest.java
@@ -0,0 +1,116 @@
+package org.havenford.simulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.havenford.storage.records.Keys;
+import org.havenford.testing.RawHttpConnection;
+import org.havenford.transport.HttpCalls.Reply;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Tests the answers of a controller process to requests whose body arrives in a packet after the head. */
+class LoopbackApiTest {
+    private static final String TEAM = "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0}";
+    private static final String NO_STANDBY = "<havenford/>";
+    private static final double TIMEOUT_SECONDS = 30;
+
+    @TempDir
+    Path directory;
+
+    private static String submission(String id, String team) {
+        SimulatedUsers.Job job = new SimulatedUsers.Job();
+        job.id = id;
+        job.team = team;
+        job.tasks = 1;
+        job.cpus = 1;
+        job.runSeconds = 5;
+        job.image = "img-1";
+        return SimulatedUsers.submissionJson(job).toString();
+    }
+
+    /** Sends a request over a connection of its own, while the simulated store and cloud run. */
+    private static Reply send(LoopbackCluster loopback, String... packets) throws InterruptedException {
+        String bind = loopback.simulator.controllers.get("node-0").settings.bind();
+        int port = Integer.parseInt(bind.substring(bind.indexOf(':') + 1));
+        CompletableFuture<Reply> reply = CompletableFuture.supplyAsync(() -> {
+            try (RawHttpConnection connection = new RawHttpConnection(port)) {
+                connection.send(packets);
+                return connection.read();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertTrue(loopback.runUntil(reply::isDone, TIMEOUT_SECONDS), "no answer");
+        return reply.join();
+    }
+
+    private static Reply get(LoopbackCluster loopback, String path) throws InterruptedException {
+        return send(loopback, RawHttpConnection.head("GET", path));
+    }
+
+    private static Reply post(LoopbackCluster loopback, String path, String body) throws InterruptedException {
+        return send(loopback, RawHttpConnection.head("POST", path, "Content-Length: " + body.length()), body);
+    }
+
+    private static Reply submit(LoopbackCluster loopback, String id, String team) throws InterruptedException {
+        return post(loopback, "/submissions", submission(id, team));
+    }
+
+    private static void awaitHealthy(LoopbackCluster loopback) throws InterruptedException {
+        double end = loopback.seconds() + TIMEOUT_SECONDS;
+        boolean healthy = false;
+        while (!healthy && loopback.seconds() < end) {
+            loopback.runUntil(() -> false, 0.2);
+            try {
+                healthy = get(loopback, "/healthz").status() == 200;
+            } catch (CompletionException e) {
+                // The controller does not listen yet.
+            }
+        }
+        assertTrue(healthy, "the controller is not healthy");
+    }
+
+    private static boolean isStored(LoopbackCluster loopback, String id) {
+        return loopback.simulator.store.values.containsKey(Keys.job(id));
+    }
+
+    /** Guards against jobs that are forgotten: answered with an empty 200 before, or without, being stored. */
+    @Test
+    @Timeout(120)
+    void answersWaitForTheStoreIfTheBodyArrivesAfterTheHead() throws Exception {
+        try (LoopbackCluster loopback = new LoopbackCluster(directory, 1, TEAM, NO_STANDBY)) {
+            awaitHealthy(loopback);
+            Reply pending = new Reply(201, "{\"nameId\":\"j-1\",\"status\":\"pending\"}");
+            assertEquals(pending, submit(loopback, "j-1", "red"));
+            assertTrue(isStored(loopback, "j-1"));
+            assertEquals(422, submit(loopback, "j-2", "nobody").status());
+            assertEquals(400, post(loopback, "/submissions", "[]").status());
+            assertEquals(400, post(loopback, "/checkin", "{\"box\":7}").status());
+
+            loopback.simulator.store.outage = true;
+            assertEquals(503, submit(loopback, "j-3", "red").status());
+            assertEquals(503, post(loopback, "/submissions/j-1/abort", "{}").status());
+            assertEquals(503, get(loopback, "/submissions/j-1").status());
+            loopback.simulator.store.outage = false;
+            loopback.runUntil(() -> false, 3);
+            assertFalse(isStored(loopback, "j-3"));
+
+            Reply repeated = submit(loopback, "j-1", "red");
+            assertEquals(200, repeated.status());
+            assertTrue(repeated.body().contains("pending"), repeated.body());
+            Reply cancelled = new Reply(200, "{\"nameId\":\"j-1\",\"status\":\"withdrawn\"}");
+            assertEquals(cancelled, post(loopback, "/submissions/j-1/abort", "{}"));
+            assertEquals(404, post(loopback, "/submissions/j-3/abort", "{}").status());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/havenford/transport/HttpServerTest.java
@@ -0,0 +1,127 @@
+package org.havenford.transport;
+
+import static org.havenford.testing.RawHttpConnection.head;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.havenford.testing.RawHttpConnection;
+import org.havenford.transport.HttpCalls.Reply;
+import org.havenford.transport.HttpServer.Request;
+import org.havenford.transport.HttpServer.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Tests the HTTP server over sockets: how the packets of a request arrive, and when its handler answers. */
+class HttpServerTest {
+    private static final int MAX_CONNECTIONS = 100;
+    private static final Duration HANDLER_DELAY = Duration.ofMillis(120);
+    private static final String BODY = "{\"nameId\":\"j-1\",\"lineup\":\"clipčut\"}";
+    private static final Reply EXPECTED = new Reply(201, "{\"answer\":\"čas\"}");
+
+    private final List<Request> handled = new CopyOnWriteArrayList<>();
+    private XnioWorker worker;
+    private XnioLoop loop;
+    private int port;
+
+    @BeforeEach
+    void startServer() throws IOException {
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.TCP_NODELAY, true));
+        loop = new XnioLoop(worker.getIoThread());
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = socket.getLocalPort();
+        }
+        new HttpServer(worker, "127.0.0.1", port, MAX_CONNECTIONS, this::handle).start();
+    }
+
+    @AfterEach
+    void stopServer() {
+        worker.shutdownNow();
+    }
+
+    /** Answers heartbeats and health checks at once, and other requests later, as if the store were asked first. */
+    private void handle(Request request, Consumer<Response> callback) {
+        handled.add(request);
+        Runnable answer = () -> callback.accept(Response.of(EXPECTED.status(), EXPECTED.body()));
+        if (request.path().equals("/checkin") || request.path().equals("/healthz")) {
+            answer.run();
+        } else {
+            loop.after(HANDLER_DELAY, answer);
+        }
+    }
+
+    private static String lengthOf(String body) {
+        return "Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length;
+    }
+
+    /** Splits a text in the middle. */
+    private static String[] halves(String text) {
+        int middle = text.length() / 2;
+        return new String[] {text.substring(0, middle), text.substring(middle)};
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
+    }
+
+    /** Returns the ways in which the packets of a POST request may arrive, each as a list of packets. */
+    private static Stream<List<String>> deliveries(String path, String body) {
+        String head = head("POST", path, lengthOf(body));
+        String chunkedHead = head("POST", path, "Transfer-Encoding: chunked");
+        String[] headHalves = halves(head);
+        String[] bodyHalves = halves(body);
+        return Stream.of(
+                List.of(head + body),
+                List.of(head, body),
+                List.of(head + bodyHalves[0], bodyHalves[1]),
+                List.of(headHalves[0], headHalves[1], bodyHalves[0], bodyHalves[1]),
+                List.of(chunkedHead + chunk(body) + chunk("")),
+                List.of(chunkedHead, chunk(bodyHalves[0]), chunk(bodyHalves[1]), chunk("")));
+    }
+
+    /** Sends a request twice over one connection; both times the response must be that of the handler. */
+    private void assertAnsweredTwice(List<String> packets, String body) throws Exception {
+        try (RawHttpConnection connection = new RawHttpConnection(port)) {
+            for (int i = 0; i < 2; i++) {
+                handled.clear();
+                connection.send(packets.toArray(String[]::new));
+                assertEquals(EXPECTED, connection.read());
+                assertEquals(1, handled.size());
+                assertEquals(body, new String(handled.get(0).body(), StandardCharsets.UTF_8));
+            }
+        }
+    }
+
+    /** Guards against an empty 200 in place of the handler's response if the body arrives after the head. */
+    @TestFactory
+    Stream<DynamicTest> postIsAnsweredByItsHandlerHoweverItsPacketsArrive() {
+        return Stream.of("/submissions", "/submissions/j-1/abort", "/checkin").flatMap(path -> deliveries(path, BODY)
+                .map(packets ->
+                        DynamicTest.dynamicTest(path + " as " + packets, () -> assertAnsweredTwice(packets, BODY))));
+    }
+
+    @TestFactory
+    Stream<DynamicTest> requestWithoutBodyIsAnsweredByItsHandlerHoweverItsPacketsArrive() {
+        return Stream.of(
+                        head("GET", "/submissions/j-1"),
+                        head("GET", "/healthz"),
+                        head("POST", "/submissions/j-1/abort", "Content-Length: 0"))
+                .flatMap(request -> Stream.of(List.of(request), List.of(halves(request)))
+                        .map(packets ->
+                                DynamicTest.dynamicTest("as " + packets, () -> assertAnsweredTwice(packets, ""))));
+    }
+}
