A client that expects to continue is told to before it sends its body

What callers saw: a client that sends "Expect: 100-continue" got no interim response, and waited until it gave up or sent the body all the same.

Cause: Undertow sends 100 only through a handler of its own, which was not in the chain.

Change: HttpContinueReadHandler stands before the server's handler; it acts only on requests with that field.

Measured: HttpServerTest.clientThatExpectsToContinueIsToldTo failed before for both paths (no byte within 10 s), and passes now, with a second request over the same connection.

--- a/src/main/java/org/havenford/transport/HttpServer.java
+++ b/src/main/java/org/havenford/transport/HttpServer.java
@@ -3,6 +3,7 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
@@ -63,7 +64,8 @@
                 .addHttpListener(
                         port,
                         host,
-                        exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> receive(exchange, handler)))
+                        new HttpContinueReadHandler(exchange ->
+                                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> receive(exchange, handler))))
                 .build();
     }
 
--- a/src/test/java/org/havenford/transport/HttpServerTest.java
+++ b/src/test/java/org/havenford/transport/HttpServerTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestFactory;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -124,4 +125,32 @@
                         .map(packets ->
                                 DynamicTest.dynamicTest("as " + packets, () -> assertAnsweredTwice(packets, ""))));
     }
+
+    /** Guards against clients that wait in vain for an interim response before they send the body. */
+    @TestFactory
+    Stream<DynamicTest> clientThatExpectsToContinueIsToldTo() {
+        return Stream.of("/submissions", "/checkin")
+                .map(path -> DynamicTest.dynamicTest(path, () -> {
+                    handled.clear();
+                    try (RawHttpConnection connection = new RawHttpConnection(port)) {
+                        connection.send(head("POST", path, lengthOf(BODY), "Expect: 100-continue"));
+                        assertEquals(100, connection.read().status());
+                        assertEquals(List.of(), handled);
+                        connection.send(BODY);
+                        assertEquals(EXPECTED, connection.read());
+                        connection.send(head("GET", "/submissions/j-1"));
+                        assertEquals(EXPECTED, connection.read());
+                    }
+                }));
+    }
+
+    /** A client that expects to continue may send the body at once; an interim response may then be left out. */
+    @Test
+    void clientThatDoesNotWaitToContinueIsAnsweredByTheHandler() throws Exception {
+        try (RawHttpConnection connection = new RawHttpConnection(port)) {
+            connection.send(head("POST", "/submissions", lengthOf(BODY), "Expect: 100-continue"), BODY);
+            Reply reply = connection.read();
+            assertEquals(EXPECTED, reply.status() == 100 ? connection.read() : reply);
+        }
+    }
 }
