A request that breaks off within its body is not handled

What callers saw: a cancellation whose client broke off in the middle of the body, or whose chunks could not be parsed, was carried out all the same, though its sender had never finished it.

Cause: every failure to read a body went to the handlers as a request without a body, and the cancellation does not look at the body.

Change: such a request is answered 400 by the server, as submissions and heartbeats were before, and reaches no handler. A body that is too large goes to the handlers as before.

--- a/src/main/java/org/havenford/controller/HeartbeatEndpoint.java
+++ b/src/main/java/org/havenford/controller/HeartbeatEndpoint.java
@@ -32,12 +32,12 @@
         this.agentManager = agentManager;
     }
 
-    /** Handles {@code POST /checkin}; {@code body} is null if it was too large or incomplete. */
+    /** Handles {@code POST /checkin}; {@code body} is null if it was too large. */
     Response handle(byte[] body) {
         linkMonitor.recordHeartbeat();
         try {
             if (body == null) {
-                throw new MalformedMessageException("too large or incomplete");
+                throw new MalformedMessageException("too large");
             }
             Heartbeat heartbeat = Heartbeat.parse(Json.object(new String(body, StandardCharsets.UTF_8)));
             HeartbeatResponse response = agentManager.handleHeartbeat(heartbeat);
--- a/src/main/java/org/havenford/coordination/jobs/JobApi.java
+++ b/src/main/java/org/havenford/coordination/jobs/JobApi.java
@@ -42,11 +42,10 @@
         return !context.replica().loaded() || context.store().queued(CallPriority.USER) > MAX_QUEUED_CALLS;
     }
 
-    /** Handles {@code POST /submissions}; {@code body} is null if it was too large or incomplete. */
+    /** Handles {@code POST /submissions}; {@code body} is null if it was too large. */
     public void submit(byte[] body, Consumer<Response> callback) {
         if (body == null) {
-            callback.accept(
-                    JobApiResponses.error(JobApiResponses.BAD_REQUEST, "the body is larger than 64 KiB or incomplete"));
+            callback.accept(JobApiResponses.error(JobApiResponses.BAD_REQUEST, "the body is larger than 64 KiB"));
             return;
         }
         JobSpec spec;
--- a/src/main/java/org/havenford/transport/HttpServer.java
+++ b/src/main/java/org/havenford/transport/HttpServer.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.util.Headers;
@@ -21,7 +22,7 @@
     /** Largest accepted request body, in bytes. */
     public static final int MAX_BODY_BYTES = 64 * 1024;
 
-    /** A request; {@code body} is null if it was larger than {@link #MAX_BODY_BYTES} or could not be read. */
+    /** A request; {@code body} is null if it was larger than {@link #MAX_BODY_BYTES}. */
     public record Request(String method, String path, byte[] body) {}
 
     /** A response. {@code retryAfter} is null, or the delay that the Retry-After header asks of the client. */
@@ -46,6 +47,9 @@
     /** Share of the allowed connections above which each is closed after its response, so that others can connect. */
     private static final double KEEP_ALIVE_SHARE = 0.75;
 
+    private static final Response INCOMPLETE =
+            Response.of(StatusCodes.BAD_REQUEST, "{\"error\":\"the body is incomplete\"}");
+
     private final Undertow server;
     private final int maxConnections;
 
@@ -103,7 +107,11 @@
                                 e, handler, new Request(method, path, bytes.length > MAX_BODY_BYTES ? null : bytes)),
                         (e, exception) -> {
                             e.setPersistent(false);
-                            dispatch(e, handler, new Request(method, path, null));
+                            if (exception instanceof Receiver.RequestToLargeException) {
+                                dispatch(e, handler, new Request(method, path, null));
+                            } else {
+                                e.dispatch(SameThreadExecutor.INSTANCE, () -> respond(e, INCOMPLETE));
+                            }
                         });
     }
 
--- a/src/test/java/org/havenford/transport/HttpServerTest.java
+++ b/src/test/java/org/havenford/transport/HttpServerTest.java
@@ -2,6 +2,8 @@
 
 import static org.havenford.testing.RawHttpConnection.head;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -153,4 +155,46 @@
             assertEquals(EXPECTED, reply.status() == 100 ? connection.read() : reply);
         }
     }
+
+    /** Guards against requests that are handled although their client has broken off within the body. */
+    @Test
+    void requestThatBreaksOffIsNotHandled() throws Exception {
+        try (RawHttpConnection connection = new RawHttpConnection(port)) {
+            connection.send(head("POST", "/submissions/j-1/abort", lengthOf(BODY)), halves(BODY)[0]);
+        }
+        Thread.sleep(HANDLER_DELAY.toMillis());
+        assertEquals(List.of(), handled);
+    }
+
+    /** Guards against requests that are handled although the chunks of their body cannot be parsed. */
+    @Test
+    void requestWithMalformedChunksIsNotHandled() throws Exception {
+        try (RawHttpConnection connection = new RawHttpConnection(port)) {
+            connection.send(
+                    head("POST", "/submissions/j-1/abort", "Transfer-Encoding: chunked"),
+                    chunk(BODY),
+                    "f".repeat(20) + "\r\n");
+            assertTrue(connection.isClosedWithoutResponse());
+        }
+        Thread.sleep(HANDLER_DELAY.toMillis());
+        assertEquals(List.of(), handled);
+    }
+
+    @Test
+    void bodyThatIsTooLargeIsPassedOnAsNull() throws Exception {
+        String body = "x".repeat(HttpServer.MAX_BODY_BYTES + 1);
+        String[] chunks = halves(body);
+        String chunkedHead = head("POST", "/checkin", "Transfer-Encoding: chunked");
+        for (String[] packets : List.of(
+                new String[] {head("POST", "/checkin", lengthOf(body)), body},
+                new String[] {chunkedHead, chunk(chunks[0]), chunk(chunks[1]), chunk("")})) {
+            handled.clear();
+            try (RawHttpConnection connection = new RawHttpConnection(port)) {
+                connection.send(packets);
+                assertEquals(EXPECTED, connection.read());
+            }
+            assertEquals(1, handled.size());
+            assertNull(handled.get(0).body());
+        }
+    }
 }
