Each exchange ends in time, and answers that reach nobody are logged

What callers saw: a client that stopped in the middle of a body held its connection without a limit, and so did a request whose handler lost it.

Cause: nothing bounded an exchange, and HttpServer.respond returned silently if the exchange was over or the client gone.

Change: ServerExchange holds the phases of one exchange. Receiving, handling and sending may take 10 s each, twice what a user and more than what an agent waits; then the connection is closed, or the request is answered 504. A timer is started only for an exchange that is not over at once. The length of a response is set by the exchange, since Undertow sets it only without a callback of ours.

Measured: connectionOfARequestThatIsNeverFinishedIsClosed and requestWithoutAnAnswerInTimeIsAnsweredByTheServer failed on the sources before in a scratch copy (no byte within 10 s); answerToAClientThatIsGoneIsReported, secondAnswerToARequestIsReported and LoopbackApiTest.cancellationThatBreaksOffIsLoggedAndNotCarriedOut ask for reports that did not exist. All pass now.

--- a/src/main/java/org/havenford/Main.java
+++ b/src/main/java/org/havenford/Main.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
@@ -176,12 +177,11 @@
                                         - (serverHolder[0] == null ? 0 : serverHolder[0].openConnections()))));
         Controller controller = new Controller(loop, client, settings, operatorSettings);
         int colon = settings.bind().lastIndexOf(':');
-        serverHolder[0] = new HttpServer(
-                worker,
+        InetSocketAddress address = InetSocketAddress.createUnresolved(
                 settings.bind().substring(0, colon),
-                Integer.parseInt(settings.bind().substring(colon + 1)),
-                Math.max(50, maxConnections - 2 * reservedConnections),
-                controller);
+                Integer.parseInt(settings.bind().substring(colon + 1)));
+        serverHolder[0] =
+                new HttpServer(loop, address, Math.max(50, maxConnections - 2 * reservedConnections), controller);
         serverHolder[0].start();
         if (operatorSettings.standby().enabled() && !settings.peers().isEmpty()) {
             XnioPeerNetwork peerNetwork = new XnioPeerNetwork(worker, loop);
--- a/src/main/java/org/havenford/transport/HttpServer.java
+++ b/src/main/java/org/havenford/transport/HttpServer.java
@@ -2,23 +2,16 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
-import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import io.undertow.util.StatusCodes;
-import java.nio.charset.StandardCharsets;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.xnio.Options;
-import org.xnio.XnioWorker;
 
 /** An HTTP server, based on Undertow, whose handler runs on the event loop's thread. */
 public final class HttpServer {
-    private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
     /** Largest accepted request body, in bytes. */
     public static final int MAX_BODY_BYTES = 64 * 1024;
 
@@ -46,18 +39,40 @@
 
     /** Share of the allowed connections above which each is closed after its response, so that others can connect. */
     private static final double KEEP_ALIVE_SHARE = 0.75;
+    /** Longer than any client waits for a response. */
+    private static final Duration EXCHANGE_TIMEOUT = Duration.ofSeconds(10);
 
-    private static final Response INCOMPLETE =
-            Response.of(StatusCodes.BAD_REQUEST, "{\"error\":\"the body is incomplete\"}");
-
-    private final Undertow server;
+    private final XnioLoop loop;
     private final int maxConnections;
+    private final Handler handler;
+    private final Duration exchangeTimeout;
+    private final ExchangeFailureListener failureListener;
+    private final Undertow server;
 
-    /** Creates a server, which listens once it is started. */
-    public HttpServer(XnioWorker worker, String host, int port, int maxConnections, Handler handler) {
+    /** Creates a server, which listens on {@code address} once it is started. */
+    public HttpServer(XnioLoop loop, InetSocketAddress address, int maxConnections, Handler handler) {
+        this(loop, address, maxConnections, handler, EXCHANGE_TIMEOUT, new ExchangeFailureLog(loop));
+    }
+
+    /**
+     * Creates a server.
+     *
+     * @param exchangeTimeout longest time for receiving a request, for handling it, and for sending the response
+     */
+    HttpServer(
+            XnioLoop loop,
+            InetSocketAddress address,
+            int maxConnections,
+            Handler handler,
+            Duration exchangeTimeout,
+            ExchangeFailureListener failureListener) {
+        this.loop = loop;
         this.maxConnections = maxConnections;
+        this.handler = handler;
+        this.exchangeTimeout = exchangeTimeout;
+        this.failureListener = failureListener;
         server = Undertow.builder()
-                .setWorker(worker)
+                .setWorker(loop.thread().getWorker())
                 .setBufferSize(4096)
                 .setDirectBuffers(false)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, maxConnections)
@@ -66,13 +81,16 @@
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
                 .addHttpListener(
-                        port,
-                        host,
-                        new HttpContinueReadHandler(exchange ->
-                                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> receive(exchange, handler))))
+                        address.getPort(), address.getHostString(), new HttpContinueReadHandler(this::startExchange))
                 .build();
     }
 
+    private void startExchange(HttpServerExchange undertowExchange) {
+        ServerExchange exchange = new ServerExchange(
+                undertowExchange, handler, loop, exchangeTimeout, failureListener, this::isNearConnectionLimit);
+        undertowExchange.dispatch(SameThreadExecutor.INSTANCE, exchange::start);
+    }
+
     /** Starts to listen. */
     public void start() {
         server.start();
@@ -90,63 +108,4 @@
     private boolean isNearConnectionLimit() {
         return openConnections() > maxConnections * KEEP_ALIVE_SHARE;
     }
-
-    private void receive(HttpServerExchange exchange, Handler handler) {
-        // The status that Undertow sends if an exchange ends without a response; its default is 200.
-        exchange.setStatusCode(StatusCodes.INTERNAL_SERVER_ERROR);
-        String method = exchange.getRequestMethod().toString();
-        String path = exchange.getRequestPath();
-        if (method.equals("GET")) {
-            handle(exchange, handler, new Request(method, path, new byte[0]));
-            return;
-        }
-        exchange.getRequestReceiver().setMaxBufferSize(MAX_BODY_BYTES);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (e, bytes) -> dispatch(
-                                e, handler, new Request(method, path, bytes.length > MAX_BODY_BYTES ? null : bytes)),
-                        (e, exception) -> {
-                            e.setPersistent(false);
-                            if (exception instanceof Receiver.RequestToLargeException) {
-                                dispatch(e, handler, new Request(method, path, null));
-                            } else {
-                                e.dispatch(SameThreadExecutor.INSTANCE, () -> respond(e, INCOMPLETE));
-                            }
-                        });
-    }
-
-    /**
-     * Passes a request to the handler outside of the receiver's callback. When a callback for a body that arrived after
-     * the head returns, Undertow ends the exchange unless a task was dispatched, even if the response is still to come.
-     */
-    private void dispatch(HttpServerExchange exchange, Handler handler, Request request) {
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> handle(exchange, handler, request));
-    }
-
-    private void handle(HttpServerExchange exchange, Handler handler, Request request) {
-        try {
-            handler.handle(request, response -> respond(exchange, response));
-        } catch (RuntimeException e) {
-            LOG.error("request handler failed: method={} path={}", request.method(), request.path(), e);
-            respond(exchange, Response.unavailable(Duration.ofSeconds(1)));
-        }
-    }
-
-    private void respond(HttpServerExchange exchange, Response response) {
-        if (exchange.isResponseStarted() || exchange.isComplete()) {
-            return;
-        }
-        exchange.setStatusCode(response.status());
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        if (response.retryAfter() != null) {
-            exchange.getResponseHeaders()
-                    .put(
-                            Headers.RETRY_AFTER,
-                            Long.toString(Math.max(1, response.retryAfter().toSeconds())));
-        }
-        if (response.close() || isNearConnectionLimit()) {
-            exchange.setPersistent(false);
-        }
-        exchange.getResponseSender().send(response.body(), StandardCharsets.UTF_8);
-    }
 }
--- a/src/test/java/org/havenford/simulator/LoopbackApiTest.java
+++ b/src/test/java/org/havenford/simulator/LoopbackApiTest.java
@@ -36,10 +36,14 @@
         return SimulatedUsers.submissionJson(job).toString();
     }
 
+    private static int port(LoopbackCluster loopback) {
+        String bind = loopback.simulator.controllers.get("node-0").settings.bind();
+        return Integer.parseInt(bind.substring(bind.indexOf(':') + 1));
+    }
+
     /** Sends a request over a connection of its own, while the simulated store and cloud run. */
     private static Reply send(LoopbackCluster loopback, String... packets) throws InterruptedException {
-        String bind = loopback.simulator.controllers.get("node-0").settings.bind();
-        int port = Integer.parseInt(bind.substring(bind.indexOf(':') + 1));
+        int port = port(loopback);
         CompletableFuture<Reply> reply = CompletableFuture.supplyAsync(() -> {
             try (RawHttpConnection connection = new RawHttpConnection(port)) {
                 connection.send(packets);
@@ -113,4 +117,29 @@
             assertEquals(404, post(loopback, "/submissions/j-3/abort", "{}").status());
         }
     }
+
+    /** Guards against requests that fail without a trace in the log. */
+    @Test
+    @Timeout(120)
+    void cancellationThatBreaksOffIsLoggedAndNotCarriedOut() throws Exception {
+        try (LoopbackCluster loopback = new LoopbackCluster(directory, 1, TEAM, NO_STANDBY)) {
+            awaitHealthy(loopback);
+            assertEquals(201, submit(loopback, "j-1", "red").status());
+            try (RawHttpConnection connection = new RawHttpConnection(port(loopback))) {
+                connection.send(RawHttpConnection.head("POST", "/submissions/j-1/abort", "Content-Length: 2"), "{");
+            }
+            String expectedLine = "exchanges failed: counts={INCOMPLETE_REQUEST=1}";
+            loopback.runUntil(() -> log(loopback).contains(expectedLine), TIMEOUT_SECONDS);
+            assertTrue(log(loopback).contains(expectedLine), log(loopback));
+            assertTrue(get(loopback, "/submissions/j-1").body().contains("pending"));
+        }
+    }
+
+    private static String log(LoopbackCluster loopback) {
+        try {
+            return loopback.controllers.get("node-0").log();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
--- a/src/test/java/org/havenford/transport/HttpServerTest.java
+++ b/src/test/java/org/havenford/transport/HttpServerTest.java
@@ -7,11 +7,13 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.havenford.testing.RawHttpConnection;
@@ -32,23 +34,34 @@
 class HttpServerTest {
     private static final int MAX_CONNECTIONS = 100;
     private static final Duration HANDLER_DELAY = Duration.ofMillis(120);
+    private static final Duration LONG_TIMEOUT = Duration.ofSeconds(8);
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(400);
     private static final String BODY = "{\"nameId\":\"j-1\",\"lineup\":\"clipčut\"}";
     private static final Reply EXPECTED = new Reply(201, "{\"answer\":\"čas\"}");
 
     private final List<Request> handled = new CopyOnWriteArrayList<>();
+    private final List<ExchangeFailure> failures = new CopyOnWriteArrayList<>();
     private XnioWorker worker;
     private XnioLoop loop;
     private int port;
+    /** Gives the answer to a request for {@code /held}, on the event loop. */
+    private volatile Runnable heldAnswer;
 
     @BeforeEach
     void startServer() throws IOException {
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.TCP_NODELAY, true));
         loop = new XnioLoop(worker.getIoThread());
+        startServer(LONG_TIMEOUT);
+    }
+
+    private void startServer(Duration exchangeTimeout) throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = socket.getLocalPort();
         }
-        new HttpServer(worker, "127.0.0.1", port, MAX_CONNECTIONS, this::handle).start();
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        ExchangeFailureListener listener = (failure, method, path) -> failures.add(failure);
+        new HttpServer(loop, address, MAX_CONNECTIONS, this::handle, exchangeTimeout, listener).start();
     }
 
     @AfterEach
@@ -56,14 +69,21 @@
         worker.shutdownNow();
     }
 
-    /** Answers heartbeats and health checks at once, and other requests later, as if the store were asked first. */
+    /** Answers later, as if the store were asked first, unless the path says otherwise. */
     private void handle(Request request, Consumer<Response> callback) {
         handled.add(request);
         Runnable answer = () -> callback.accept(Response.of(EXPECTED.status(), EXPECTED.body()));
-        if (request.path().equals("/checkin") || request.path().equals("/healthz")) {
-            answer.run();
-        } else {
-            loop.after(HANDLER_DELAY, answer);
+        switch (request.path()) {
+            case "/checkin", "/healthz" -> answer.run();
+            case "/throws" -> throw new IllegalStateException();
+            case "/never" -> {}
+            case "/twice" -> {
+                answer.run();
+                answer.run();
+            }
+            case "/late" -> loop.after(SHORT_TIMEOUT.multipliedBy(2), answer);
+            case "/held" -> heldAnswer = answer;
+            default -> loop.after(HANDLER_DELAY, answer);
         }
     }
 
@@ -156,13 +176,25 @@
         }
     }
 
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + LONG_TIMEOUT.toNanos();
+        while (!condition.getAsBoolean() && System.nanoTime() < end) {
+            Thread.sleep(5);
+        }
+    }
+
+    private void awaitFailures(ExchangeFailure... expected) throws InterruptedException {
+        await(() -> failures.size() >= expected.length);
+        assertEquals(List.of(expected), failures);
+    }
+
     /** Guards against requests that are handled although their client has broken off within the body. */
     @Test
     void requestThatBreaksOffIsNotHandled() throws Exception {
         try (RawHttpConnection connection = new RawHttpConnection(port)) {
             connection.send(head("POST", "/submissions/j-1/abort", lengthOf(BODY)), halves(BODY)[0]);
         }
-        Thread.sleep(HANDLER_DELAY.toMillis());
+        awaitFailures(ExchangeFailure.INCOMPLETE_REQUEST);
         assertEquals(List.of(), handled);
     }
 
@@ -176,10 +208,65 @@
                     "f".repeat(20) + "\r\n");
             assertTrue(connection.isClosedWithoutResponse());
         }
-        Thread.sleep(HANDLER_DELAY.toMillis());
+        awaitFailures(ExchangeFailure.INCOMPLETE_REQUEST);
         assertEquals(List.of(), handled);
     }
 
+    /** Guards against connections that are held forever by clients that never finish a request. */
+    @Test
+    void connectionOfARequestThatIsNeverFinishedIsClosed() throws Exception {
+        startServer(SHORT_TIMEOUT);
+        try (RawHttpConnection connection = new RawHttpConnection(port)) {
+            connection.send(head("POST", "/submissions", lengthOf(BODY)), halves(BODY)[0]);
+            assertTrue(connection.isClosedWithoutResponse());
+        }
+        awaitFailures(ExchangeFailure.REQUEST_TIMEOUT);
+        assertEquals(List.of(), handled);
+    }
+
+    /** Guards against exchanges that stay open if a handler loses a request, and against answers dropped unseen. */
+    @Test
+    void requestWithoutAnAnswerInTimeIsAnsweredByTheServer() throws Exception {
+        startServer(SHORT_TIMEOUT);
+        try (RawHttpConnection connection = new RawHttpConnection(port)) {
+            connection.send(head("GET", "/never"));
+            assertEquals(504, connection.read().status());
+            connection.send(head("GET", "/late"));
+            assertEquals(504, connection.read().status());
+        }
+        awaitFailures(ExchangeFailure.HANDLER_TIMEOUT, ExchangeFailure.HANDLER_TIMEOUT, ExchangeFailure.LATE_RESPONSE);
+    }
+
+    @Test
+    void secondAnswerToARequestIsReported() throws Exception {
+        try (RawHttpConnection connection = new RawHttpConnection(port)) {
+            connection.send(head("GET", "/twice"));
+            assertEquals(EXPECTED, connection.read());
+        }
+        awaitFailures(ExchangeFailure.LATE_RESPONSE);
+    }
+
+    /** Guards against answers that vanish without a trace because the client has closed its connection. */
+    @Test
+    void answerToAClientThatIsGoneIsReported() throws Exception {
+        RawHttpConnection connection = new RawHttpConnection(port);
+        connection.send(head("POST", "/held", lengthOf(BODY)), BODY);
+        await(() -> heldAnswer != null);
+        connection.reset();
+        loop.after(Duration.ZERO, heldAnswer);
+        awaitFailures(ExchangeFailure.UNDELIVERED_RESPONSE);
+        assertEquals(1, handled.size());
+    }
+
+    @Test
+    void requestWhoseHandlerFailsIsToBeRepeated() throws Exception {
+        try (RawHttpConnection connection = new RawHttpConnection(port)) {
+            connection.send(head("POST", "/throws", lengthOf(BODY)), BODY);
+            assertEquals(503, connection.read().status());
+        }
+        assertEquals(List.of(), failures);
+    }
+
     @Test
     void bodyThatIsTooLargeIsPassedOnAsNull() throws Exception {
         String body = "x".repeat(HttpServer.MAX_BODY_BYTES + 1);
