Bodies of outgoing calls are sent as UTF-8 whatever the default charset

What callers saw: on a system without a locale, where the default charset of Java 17 is ASCII, a submission with a letter beyond ASCII in a name was answered 503 each time, and would have been until its user gave up.

Cause: HttpClient announced the length of the body in UTF-8, and Undertow's StringWriteChannelListener wrote it in the default charset, which is shorter: the call to the state service was never complete.

Change: the listener is given the charset. Controller processes of the tests run with an ASCII default charset, so that no other place comes to depend on it.

Measured: both cases of LoopbackApiTest, whose job now has such a name, failed before (503 in place of 201) and pass now.

--- a/src/main/java/org/havenford/transport/HttpClient.java
+++ b/src/main/java/org/havenford/transport/HttpClient.java
@@ -203,7 +203,7 @@
                 }
             });
             if (body != null) {
-                new StringWriteChannelListener(body).setup(exchange.getRequestChannel());
+                new StringWriteChannelListener(body, StandardCharsets.UTF_8).setup(exchange.getRequestChannel());
             }
         }
 
--- a/src/test/java/org/havenford/simulator/ControllerProcess.java
+++ b/src/test/java/org/havenford/simulator/ControllerProcess.java
@@ -21,13 +21,17 @@
         logFile = directory.resolve(node + ".log");
     }
 
-    /** Starts the process, with the class path of this test; its output is appended to the log file. */
+    /**
+     * Starts the process, with the class path of this test; its output is appended to the log file. The default charset
+     * is that of a system without a locale, as nothing may depend on it.
+     */
     void start() throws IOException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx96m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
+                "-Dfile.encoding=US-ASCII",
                 "-cp",
                 System.getProperty("java.class.path"),
                 Main.class.getName(),
--- a/src/test/java/org/havenford/simulator/LoopbackApiTest.java
+++ b/src/test/java/org/havenford/simulator/LoopbackApiTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -32,7 +33,7 @@
         job.tasks = 1;
         job.cpus = 1;
         job.runSeconds = 5;
-        job.image = "img-1";
+        job.image = "img-č";
         return SimulatedUsers.submissionJson(job).toString();
     }
 
@@ -63,7 +64,10 @@
     }
 
     private static Reply post(LoopbackCluster loopback, String path, String body) throws InterruptedException {
-        return send(loopback, RawHttpConnection.head("POST", path, "Content-Length: " + body.length()), body);
+        return send(
+                loopback,
+                RawHttpConnection.head("POST", path, "Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length),
+                body);
     }
 
     private static Reply submit(LoopbackCluster loopback, String id, String team) throws InterruptedException {
