A status of the store without the body that belongs to it decides nothing

What callers could see: an empty 200 in answer to a transaction ended in a NullPointerException or counted as a commit at revision 0, so that a submission could be confirmed or its request lost; an empty 404 to a read counted as "no such job". An empty 200 to the watch ended in a NullPointerException as well, and the watch was not opened again. The state service sends none of these by the protocol; this is what our own server did to its clients, seen from the other side.

Cause: StoreResponseReader took the outcome from the status alone if the body was empty.

Change: each call says whether its responses have a body. Where they do, 200, 404 and 409 without one are of unknown outcome, and logged. Lease renewals and ends, for which the protocol names no body, go by the status as before.

--- a/src/main/java/org/havenford/storage/StoreCall.java
+++ b/src/main/java/org/havenford/storage/StoreCall.java
@@ -25,8 +25,18 @@
      * @param body the body, or null if there is none
      * @param operationCount number of operations that count towards the store's limit of writes
      * @param timeout the longest time to wait for the response
+     * @param responseBody whether the responses have a body
      */
-    record Request(String method, String path, String body, int operationCount, Duration timeout) {}
+    record Request(
+            String method, String path, String body, int operationCount, Duration timeout, ResponseBody responseBody) {}
+
+    /** Whether the responses to a call have a body. */
+    enum ResponseBody {
+        /** A response that says what the store did or found contains a JSON object. */
+        REQUIRED,
+        /** The status says all. */
+        OPTIONAL
+    }
 
     /** Completes the call with an outcome that does not come from a response. */
     void completeWithoutResponse(StoreOutcome outcome) {
--- a/src/main/java/org/havenford/storage/StoreClient.java
+++ b/src/main/java/org/havenford/storage/StoreClient.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.havenford.storage.StoreCall.ResponseBody;
 import org.havenford.transport.EventLoop;
 import org.havenford.transport.HttpCalls;
 
@@ -111,7 +112,8 @@
                 StoreWireCodec.TRANSACTIONS_PATH,
                 StoreWireCodec.transactionBody(transaction),
                 transaction.operationCount(),
-                RESPONSE_TIMEOUT);
+                RESPONSE_TIMEOUT,
+                ResponseBody.REQUIRED);
         dispatcher.submit(new StoreCall(priority, request, deadline, isCurrent, observedCallback));
     }
 
@@ -126,25 +128,28 @@
 
     /** Creates a lease that expires unless it is renewed within {@code duration}. */
     public void createLease(Duration duration, Consumer<StoreResult> callback) {
-        submitLeaseCall("POST", StoreWireCodec.LEASES_PATH, StoreWireCodec.leaseRequestBody(duration), callback);
+        String body = StoreWireCodec.leaseRequestBody(duration);
+        submitLeaseCall("POST", StoreWireCodec.LEASES_PATH, body, ResponseBody.REQUIRED, callback);
     }
 
     /** Renews a lease. */
     public void renewLease(long leaseId, Consumer<StoreResult> callback) {
-        submitLeaseCall("POST", StoreWireCodec.renewalPath(leaseId), null, callback);
+        submitLeaseCall("POST", StoreWireCodec.renewalPath(leaseId), null, ResponseBody.OPTIONAL, callback);
     }
 
     /** Ends a lease at once. */
     public void endLease(long leaseId, Consumer<StoreResult> callback) {
-        submitLeaseCall("DELETE", StoreWireCodec.leasePath(leaseId), null, callback);
+        submitLeaseCall("DELETE", StoreWireCodec.leasePath(leaseId), null, ResponseBody.OPTIONAL, callback);
     }
 
-    private void submitLeaseCall(String method, String path, String body, Consumer<StoreResult> callback) {
-        submit(CallPriority.LEASE, new StoreCall.Request(method, path, body, 0, RESPONSE_TIMEOUT), callback);
+    private void submitLeaseCall(
+            String method, String path, String body, ResponseBody responseBody, Consumer<StoreResult> callback) {
+        StoreCall.Request request = new StoreCall.Request(method, path, body, 0, RESPONSE_TIMEOUT, responseBody);
+        submit(CallPriority.LEASE, request, callback);
     }
 
     private static StoreCall.Request readRequest(String path, Duration timeout) {
-        return new StoreCall.Request("GET", path, null, 0, timeout);
+        return new StoreCall.Request("GET", path, null, 0, timeout, ResponseBody.REQUIRED);
     }
 
     private void submit(CallPriority priority, StoreCall.Request request, Consumer<StoreResult> callback) {
--- a/src/main/java/org/havenford/storage/StoreResponseReader.java
+++ b/src/main/java/org/havenford/storage/StoreResponseReader.java
@@ -25,7 +25,7 @@
     /** Returns the result of the call that a response answers. */
     static StoreResult read(HttpCalls.Reply reply, StoreCall.Request request) {
         if (reply.body().isEmpty()) {
-            return result(reply, request, null);
+            return readWithoutBody(reply, request);
         }
         try {
             return result(reply, request, Json.object(reply.body()));
@@ -40,6 +40,24 @@
         }
     }
 
+    /** A status alone does not show that the store has sent it where the store would have sent a body as well. */
+    private static StoreResult readWithoutBody(HttpCalls.Reply reply, StoreCall.Request request) {
+        boolean needsBody =
+                switch (outcome(reply.status())) {
+                    case OK, CONFLICT, ABSENT -> request.responseBody() == StoreCall.ResponseBody.REQUIRED;
+                    default -> false;
+                };
+        if (!needsBody) {
+            return result(reply, request, null);
+        }
+        LOG.warn(
+                "response from the store lacks its body: method={} path={} status={}",
+                request.method(),
+                request.path(),
+                reply.status());
+        return StoreResult.withoutResponse(StoreOutcome.UNKNOWN);
+    }
+
     private static StoreResult result(HttpCalls.Reply reply, StoreCall.Request request, JsonObject body) {
         if (reply.status() == BAD_REQUEST) {
             logBadRequest(reply, request);
