The time limit of an exchange starts anew with each of its phases

Change: handling and sending start it anew; an exchange whose answer is out but whose request is not read yet keeps one pending. The test cases of the server have names in place of lists of packets.

--- a/src/main/java/org/havenford/transport/ServerExchange.java
+++ b/src/main/java/org/havenford/transport/ServerExchange.java
@@ -86,9 +86,7 @@
         } else {
             receiveBody();
         }
-        if (!exchange.isComplete()) {
-            startTimeout();
-        }
+        ensureTimeout();
     }
 
     private void receiveBody() {
@@ -122,6 +120,9 @@
 
     private void handle(byte[] body) {
         phase = Phase.HANDLING;
+        if (timeoutKey != null) {
+            restartTimeout();
+        }
         Request request = new Request(exchange.getRequestMethod().toString(), exchange.getRequestPath(), body);
         try {
             handler.handle(request, this::respond);
@@ -153,6 +154,9 @@
         byte[] body = response.body().getBytes(StandardCharsets.UTF_8);
         exchange.setResponseContentLength(body.length);
         exchange.getResponseSender().send(ByteBuffer.wrap(body), new SendCallback());
+        if (phase == Phase.SENDING) {
+            restartTimeout();
+        }
     }
 
     /** Ends the exchange when its response has been sent, or could not be sent. */
@@ -170,10 +174,25 @@
         }
     }
 
-    private void startTimeout() {
+    /** Starts the timeout unless the exchange has ended or a timeout is pending. */
+    private void ensureTimeout() {
+        if (phase != Phase.ENDED && timeoutKey == null) {
+            restartTimeout();
+        }
+    }
+
+    private void restartTimeout() {
+        cancelTimeout();
         timeoutKey = loop.afterCancellable(timeout, this::timedOut);
     }
 
+    private void cancelTimeout() {
+        if (timeoutKey != null) {
+            timeoutKey.remove();
+            timeoutKey = null;
+        }
+    }
+
     private void timedOut() {
         timeoutKey = null;
         switch (phase) {
@@ -183,8 +202,8 @@
             }
             case HANDLING -> {
                 reportFailure(ExchangeFailure.HANDLER_TIMEOUT);
-                startTimeout();
                 respond(TIMED_OUT);
+                ensureTimeout();
             }
             case SENDING -> {
                 reportFailure(ExchangeFailure.UNDELIVERED_RESPONSE);
@@ -200,9 +219,7 @@
     }
 
     private void ended() {
-        if (timeoutKey != null) {
-            timeoutKey.remove();
-        }
+        cancelTimeout();
         if (phase == Phase.RECEIVING) {
             reportFailure(ExchangeFailure.INCOMPLETE_REQUEST);
         } else if (phase == Phase.HANDLING) {
--- a/src/test/java/org/havenford/transport/HttpServerTest.java
+++ b/src/test/java/org/havenford/transport/HttpServerTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -101,19 +102,19 @@
         return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
     }
 
-    /** Returns the ways in which the packets of a POST request may arrive, each as a list of packets. */
-    private static Stream<List<String>> deliveries(String path, String body) {
+    /** Returns the ways in which the packets of a POST request may arrive, each as a list of packets with its name. */
+    private static Map<String, List<String>> deliveries(String path, String body) {
         String head = head("POST", path, lengthOf(body));
         String chunkedHead = head("POST", path, "Transfer-Encoding: chunked");
         String[] headHalves = halves(head);
         String[] bodyHalves = halves(body);
-        return Stream.of(
-                List.of(head + body),
-                List.of(head, body),
-                List.of(head + bodyHalves[0], bodyHalves[1]),
-                List.of(headHalves[0], headHalves[1], bodyHalves[0], bodyHalves[1]),
-                List.of(chunkedHead + chunk(body) + chunk("")),
-                List.of(chunkedHead, chunk(bodyHalves[0]), chunk(bodyHalves[1]), chunk("")));
+        return Map.of(
+                "one packet", List.of(head + body),
+                "head and body apart", List.of(head, body),
+                "half of the body apart", List.of(head + bodyHalves[0], bodyHalves[1]),
+                "four pieces", List.of(headHalves[0], headHalves[1], bodyHalves[0], bodyHalves[1]),
+                "chunked, one packet", List.of(chunkedHead + chunk(body) + chunk("")),
+                "chunked, in pieces", List.of(chunkedHead, chunk(bodyHalves[0]), chunk(bodyHalves[1]), chunk("")));
     }
 
     /** Sends a request twice over one connection; both times the response must be that of the handler. */
@@ -132,9 +133,11 @@
     /** Guards against an empty 200 in place of the handler's response if the body arrives after the head. */
     @TestFactory
     Stream<DynamicTest> postIsAnsweredByItsHandlerHoweverItsPacketsArrive() {
-        return Stream.of("/submissions", "/submissions/j-1/abort", "/checkin").flatMap(path -> deliveries(path, BODY)
-                .map(packets ->
-                        DynamicTest.dynamicTest(path + " as " + packets, () -> assertAnsweredTwice(packets, BODY))));
+        return Stream.of("/submissions", "/submissions/j-1/abort", "/checkin")
+                .flatMap(path -> deliveries(path, BODY).entrySet().stream()
+                        .map(delivery -> DynamicTest.dynamicTest(
+                                path + ", " + delivery.getKey(),
+                                () -> assertAnsweredTwice(delivery.getValue(), BODY))));
     }
 
     @TestFactory
