An agent that restarted gets no tasks before it reports by itself

Callers saw: nothing wrong in the answers; a task that is started on a machine whose agent restarted and hears from nobody is killed with that incarnation's first lease, and starts again elsewhere half a minute later.

Cause: the same class as the lease before: a machine takes tasks if its agent reported by itself lately, and a heartbeat of the incarnation before counted for the one that was only seen in the reply to a direct call.

Change: the newest heartbeat that came by itself must be of the newest known incarnation. A restarted agent sends one at once, so one that can report waits for half a second at the most.

Evidence: mute-agent-restarts.trace had 2 starts in place of 1 before, and the job ended 17 s later (107.4, now 90.4). The other 146 digests of TraceTest and those of PlacementTest are unchanged; LargeFleetTest and LargeFleetFailoverTest pass.

--- a/src/main/java/org/havenford/coordination/agents/AgentState.java
+++ b/src/main/java/org/havenford/coordination/agents/AgentState.java
@@ -185,6 +185,11 @@
         return lastUnsolicitedAt != null && now.isBefore(lastUnsolicitedAt.plus(age));
     }
 
+    /** Returns whether the agent has sent an unsolicited heartbeat in its newest known incarnation. */
+    boolean hasReportedInIncarnation() {
+        return heartbeat != null && heartbeat.incarnation() == heartbeatIncarnation;
+    }
+
     /**
      * Returns whether no unsolicited heartbeat was received for longer than {@code silence}. Before any heartbeat, the time
      * counts from the latest possible lease renewal by a former owner.
--- a/src/main/java/org/havenford/coordination/agents/MachineHealthMonitor.java
+++ b/src/main/java/org/havenford/coordination/agents/MachineHealthMonitor.java
@@ -42,8 +42,8 @@
     /** Returns whether a machine can take new tasks. */
     boolean canTakeTasks(AgentState agent, Instant now) {
         // Replies to direct calls do not renew the agent's lease, so tasks started on a machine that only replies would
-        // be killed when its lease expires. Covered by mute-machine.trace.
-        return agent.hasReported()
+        // be killed when its lease expires. Covered by mute-machine.trace and mute-agent-restarts.trace.
+        return agent.hasReportedInIncarnation()
                 && agent.interruptionAt() == null
                 && !agent.withholdsTasks(now)
                 && agent.hasHeartbeatWithin(heartbeatFreshness, now);
