--- a/src/main/java/org/havenford/controller/Controller.java
+++ b/src/main/java/org/havenford/controller/Controller.java
@@ -152,6 +152,7 @@
         List<ControllerStatistics.Section> sections = List.of(
                 new ControllerStatistics.Section("store", () -> Optional.of(store.takeSummary())),
                 new ControllerStatistics.Section("pipelines", () -> Optional.of(pipelineMetrics.takeSummary())),
+                new ControllerStatistics.Section("decisions", () -> Optional.of(agentManager.takeDecisionSummary())),
                 new ControllerStatistics.Section("links", () -> Optional.of(linkMonitor.summary())),
                 new ControllerStatistics.Section("booting machines", () -> Optional.ofNullable(provisioner.summary())));
         return new ControllerStatistics(loop, scheduler, agentManager, clusterState, sections);
--- a/src/main/java/org/havenford/coordination/agents/AgentManager.java
+++ b/src/main/java/org/havenford/coordination/agents/AgentManager.java
@@ -24,6 +24,7 @@
     private final AgentContext context;
     private final AgentRegistry registry;
     private final ChangedMachines changedMachines = new ChangedMachines();
+    private final DecisionLog decisionLog;
     private final AttemptOutcomes outcomes;
     private final MachineFaultDetector faultDetector;
     private final MachineHealthMonitor healthMonitor;
@@ -42,20 +43,21 @@
             AgentContext context, HttpCalls calls, OperatorSettings operatorSettings, AgentListener listener) {
         this.context = context;
         registry = new AgentRegistry(context);
-        outcomes = new AttemptOutcomes(context.clusterState(), listener);
+        decisionLog = new DecisionLog(context, registry);
+        outcomes = new AttemptOutcomes(context.clusterState(), listener, decisionLog);
         faultDetector = new MachineFaultDetector(context.clusterState());
         healthMonitor = new MachineHealthMonitor(context.settings(), faultDetector, listener);
         ImageCacheTracker imageCache = new ImageCacheTracker(context.clusterState(), listener);
         HeartbeatReconciler reconciler = new HeartbeatReconciler(
-                context, outcomes, imageCache, faultDetector, healthMonitor.heartbeatFreshness());
+                context, outcomes, decisionLog, imageCache, faultDetector, healthMonitor.heartbeatFreshness());
         HeartbeatIntake intake =
                 new HeartbeatIntake(context, changedMachines, reconciler, new MachineAdoption(context), healthMonitor);
-        CommandPlanner commandPlanner = new CommandPlanner(context, outcomes);
+        CommandPlanner commandPlanner = new CommandPlanner(context, outcomes, decisionLog);
         redirectedAgents =
                 new RedirectedAgents(context.membership(), context.settings().agentLease());
         heartbeatHandler = new HeartbeatHandler(context, registry, redirectedAgents, intake, commandPlanner, listener);
         commandSender = new DirectCommandSender(context, calls, registry, commandPlanner, intake, listener);
-        leaseMonitor = new AgentLeaseMonitor(context, registry, outcomes);
+        leaseMonitor = new AgentLeaseMonitor(context, registry, outcomes, decisionLog);
         taskStopper = new TaskStopper(context.clusterState(), operatorSettings);
         statusPublisher = new MachineStatusPublisher(context);
         reachabilityProbe = new ReachabilityProbe(context, calls);
@@ -208,6 +210,11 @@
         faultDetector.jobEnded(lastState);
     }
 
+    /** Returns counts of the commands sent and the attempts ended since the last call, as {@code key=value} pairs. */
+    public String takeDecisionSummary() {
+        return decisionLog.takeSummary();
+    }
+
     /** Returns how many attempts were stopped as stragglers. */
     public long stragglerStops() {
         return taskStopper.stragglerStops();
--- a/src/main/java/org/havenford/coordination/agents/AgentState.java
+++ b/src/main/java/org/havenford/coordination/agents/AgentState.java
@@ -38,6 +38,8 @@
     private Instant lastUnsolicitedAt;
     /** The latest time at which any owner can have renewed the agent's lease, or its known incarnation can have started. */
     private Instant leaseCountedFrom;
+
+    private LeaseOrigin leaseOrigin = LeaseOrigin.TAKEOVER;
     /** Whether no heartbeat has been received since this process was last paused. */
     private boolean silentSincePause;
     /** Consecutive heartbeats before which the agent had reported to another controller, as it does without a response. */
@@ -104,7 +106,7 @@
         if (newer.incarnation() > knownIncarnation) {
             // The lease of an incarnation counts from its start, of which only the latest possible time is known.
             knownIncarnation = newer.incarnation();
-            countLeaseFrom(now);
+            countLeaseFrom(now, LeaseOrigin.INCARNATION);
         }
         heartbeat = newer;
         lastSeenAt = now;
@@ -214,11 +216,19 @@
 
     /** Records that a response that renews the agent's lease is being sent. */
     void renewLease(Instant now) {
-        countLeaseFrom(now);
+        countLeaseFrom(now, LeaseOrigin.RESPONSE);
+    }
+
+    private void countLeaseFrom(Instant from, LeaseOrigin origin) {
+        if (!from.isBefore(leaseCountedFrom)) {
+            leaseCountedFrom = from;
+            leaseOrigin = origin;
+        }
     }
 
-    private void countLeaseFrom(Instant from) {
-        leaseCountedFrom = later(leaseCountedFrom, from);
+    /** Returns the event from which the agent's lease is counted. */
+    LeaseOrigin leaseOrigin() {
+        return leaseOrigin;
     }
 
     /** Returns when the last heartbeat was received or any owner can last have renewed the lease, whichever is later. */
--- a/src/main/java/org/havenford/coordination/agents/AttemptOutcomes.java
+++ b/src/main/java/org/havenford/coordination/agents/AttemptOutcomes.java
@@ -11,16 +11,12 @@
 import org.havenford.storage.records.Claim;
 import org.havenford.storage.records.Job;
 import org.havenford.storage.records.Keys;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Outcomes of ended attempts whose claims are still in the store, grouped by the task range that holds the claim. They are
  * keyed by claim rather than by task, so that an outcome is never applied to a later attempt of the same task.
  */
 public final class AttemptOutcomes {
-    private static final Logger LOG = LoggerFactory.getLogger(AttemptOutcomes.class);
-
     /** Outcomes that are to be written to one task range. */
     public static final class TaskRangeOutcomes {
         private final String key;
@@ -75,17 +71,19 @@
 
     private final ClusterState clusterState;
     private final AgentListener listener;
+    private final DecisionLog decisionLog;
     private final Map<Claim, TaskRangeOutcomes> rangesByClaim = new HashMap<>();
     private final Map<String, TaskRangeOutcomes> rangesByKey = new LinkedHashMap<>();
 
     /** Creates an empty collection; {@code listener} is notified of each machine on which an attempt has ended. */
-    AttemptOutcomes(ClusterState clusterState, AgentListener listener) {
+    AttemptOutcomes(ClusterState clusterState, AgentListener listener, DecisionLog decisionLog) {
         this.clusterState = clusterState;
         this.listener = listener;
+        this.decisionLog = decisionLog;
     }
 
     /** Records the outcome of an attempt. Later outcomes for the same claim are ignored. */
-    void recordOutcome(Claim claim, AttemptOutcome outcome) {
+    void recordOutcome(Claim claim, AttemptOutcome outcome, EndProof proof) {
         Job job = clusterState.job(claim.task().job());
         if (job == null || rangesByClaim.containsKey(claim)) {
             return;
@@ -96,12 +94,7 @@
         range.lastCheckedAt = null;
         rangesByClaim.put(claim, range);
         listener.capacityChanged(claim.machine());
-        LOG.debug(
-                "attempt ended: task={} attempt={} machine={} outcome={}",
-                claim.task(),
-                claim.attempt(),
-                claim.machine(),
-                outcome);
+        decisionLog.attemptEnded(claim, outcome, proof);
     }
 
     /** Returns whether the outcome of a claim is known but not stored yet. */
--- a/src/main/java/org/havenford/coordination/agents/CommandPlanner.java
+++ b/src/main/java/org/havenford/coordination/agents/CommandPlanner.java
@@ -22,17 +22,20 @@
     private final AgentContext context;
     private final ClusterState clusterState;
     private final AttemptOutcomes outcomes;
+    private final DecisionLog decisionLog;
 
-    CommandPlanner(AgentContext context, AttemptOutcomes outcomes) {
+    CommandPlanner(AgentContext context, AttemptOutcomes outcomes, DecisionLog decisionLog) {
         this.context = context;
         this.clusterState = context.clusterState();
         this.outcomes = outcomes;
+        this.decisionLog = decisionLog;
     }
 
     /** Returns the commands to send in the response to a heartbeat, and records the run commands among them. */
     List<Command> forHeartbeatResponse(AgentState agent) {
         List<Command> commands = planCommands(agent, MAX_COMMANDS_IN_RESPONSE);
         recordRuns(agent, commands);
+        commands.forEach(command -> decisionLog.commandSent(agent, command, CommandChannel.RESPONSE));
         return commands;
     }
 
@@ -45,6 +48,7 @@
         commands.removeIf(command -> command.op() == Command.Op.FORGET);
         recordRuns(agent, commands);
         recordDirectRuns(agent, commands);
+        commands.forEach(command -> decisionLog.commandSent(agent, command, CommandChannel.DIRECT_CALL));
         return commands;
     }
 
--- a/src/main/java/org/havenford/coordination/agents/HeartbeatReconciler.java
+++ b/src/main/java/org/havenford/coordination/agents/HeartbeatReconciler.java
@@ -19,6 +19,7 @@
     private final EventLoop loop;
     private final ClusterState clusterState;
     private final AttemptOutcomes outcomes;
+    private final DecisionLog decisionLog;
     private final ImageCacheTracker imageCache;
     private final MachineFaultDetector faultDetector;
     private final Duration heartbeatFreshness;
@@ -30,12 +31,14 @@
     HeartbeatReconciler(
             AgentContext context,
             AttemptOutcomes outcomes,
+            DecisionLog decisionLog,
             ImageCacheTracker imageCache,
             MachineFaultDetector faultDetector,
             Duration heartbeatFreshness) {
         this.loop = context.loop();
         this.clusterState = context.clusterState();
         this.outcomes = outcomes;
+        this.decisionLog = decisionLog;
         this.imageCache = imageCache;
         this.faultDetector = faultDetector;
         this.heartbeatFreshness = heartbeatFreshness;
@@ -43,7 +46,11 @@
 
     /** Stores a new heartbeat and reconciles the claims on its machine with it. */
     void reconcile(AgentState agent, Heartbeat heartbeat, HeartbeatOrigin origin) {
+        boolean restarted = agent.hasReported() && heartbeat.incarnation() > agent.incarnation();
         agent.recordHeartbeat(heartbeat, loop.now());
+        if (restarted) {
+            decisionLog.agentRestarted(agent, origin);
+        }
         if (heartbeat.spotNoticeSeconds() != null && agent.interruptionAt() == null) {
             agent.recordInterruptionNotice(loop.now().plusMillis((long) (heartbeat.spotNoticeSeconds() * 1000)));
         }
@@ -55,7 +62,7 @@
     private void reconcile(AgentState agent, Claim claim, Heartbeat heartbeat, HeartbeatOrigin origin) {
         if (claim.incarnation() < heartbeat.incarnation()) {
             // A later incarnation of the agent has killed and forgotten all attempts of the earlier one.
-            outcomes.recordOutcome(claim, AttemptOutcome.NotDone.RETRY);
+            outcomes.recordOutcome(claim, AttemptOutcome.NotDone.RETRY, EndProof.LATER_INCARNATION);
         } else if (claim.incarnation() == heartbeat.incarnation()) {
             Heartbeat.AttemptStatus status = heartbeat.find(claim.task(), claim.attempt());
             AttemptState attempt = agent.getOrCreateAttempt(claim.task(), claim.attempt());
@@ -79,7 +86,7 @@
         if (origin == HeartbeatOrigin.UNSOLICITED
                 && heartbeat.fencingToken() >= agent.lowestFencingToken()
                 && attempt.isDirectRunFenced(heartbeat.fencingToken())) {
-            outcomes.recordOutcome(claim, outcomeOfStopped(attempt));
+            outcomes.recordOutcome(claim, outcomeOfStopped(attempt), EndProof.ABSENT_FROM_HEARTBEAT);
         } else if (!attempt.isDirectRunFenced(agent.fencingToken())) {
             agent.raiseFencingToken();
         }
@@ -103,26 +110,30 @@
     private void reconcileExited(AgentState agent, Claim claim, AttemptState attempt, String cause) {
         switch (ExitCause.parse(cause)) {
             case DONE -> reconcileDone(agent, claim, attempt);
-            case STOPPED -> outcomes.recordOutcome(claim, outcomeOfStopped(attempt));
+            case STOPPED -> recordExit(claim, outcomeOfStopped(attempt));
             case ERROR -> {
                 LOG.info("task failed: task={} machine={}", claim.task(), agent.machine());
                 agent.avoid(claim.task());
                 faultDetector.recordFailure(agent.machine(), claim.task().job());
-                outcomes.recordOutcome(claim, AttemptOutcome.NotDone.FAILED);
+                recordExit(claim, AttemptOutcome.NotDone.FAILED);
             }
             case REFUSED_FOR_NOW -> {
                 logRefused(agent, claim, cause);
                 agent.withholdTasksUntil(loop.now().plus(REFUSAL_BACKOFF));
-                outcomes.recordOutcome(claim, AttemptOutcome.NotDone.RETRY);
+                recordExit(claim, AttemptOutcome.NotDone.RETRY);
             }
             default -> {
                 // Refused permanently, or exited for an unknown cause.
                 logRefused(agent, claim, cause);
-                outcomes.recordOutcome(claim, AttemptOutcome.NotDone.FAILED);
+                recordExit(claim, AttemptOutcome.NotDone.FAILED);
             }
         }
     }
 
+    private void recordExit(Claim claim, AttemptOutcome outcome) {
+        outcomes.recordOutcome(claim, outcome, EndProof.REPORTED_EXIT);
+    }
+
     private static void logRefused(AgentState agent, Claim claim, String cause) {
         LOG.info("task refused: task={} machine={} cause={}", claim.task(), agent.machine(), cause);
     }
@@ -135,6 +146,6 @@
         imageCache.recordUse(agent, clusterState.job(claim.task().job()));
         Duration runDuration = attempt.runDuration(loop);
         faultDetector.recordSuccess(agent.machine());
-        outcomes.recordOutcome(claim, new AttemptOutcome.Done(attempt.pullDuration(), runDuration));
+        recordExit(claim, new AttemptOutcome.Done(attempt.pullDuration(), runDuration));
     }
 }
--- a/src/main/java/org/havenford/coordination/jobs/JobApi.java
+++ b/src/main/java/org/havenford/coordination/jobs/JobApi.java
@@ -13,9 +13,12 @@
 import org.havenford.storage.records.Job;
 import org.havenford.storage.records.Keys;
 import org.havenford.transport.HttpServer.Response;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Handlers of the job API: submissions, queries and cancellations. All requests are idempotent. */
 public final class JobApi {
+    private static final Logger LOG = LoggerFactory.getLogger(JobApi.class);
     /** Queued store calls of user requests above which further requests are rejected, to be retried by the client. */
     private static final int MAX_QUEUED_CALLS = 60;
     /** Attempts at a cancellation if concurrent changes of the header cause conflicts. */
@@ -65,7 +68,7 @@
         } else if (isUnavailable() || context.clusterState().types().isEmpty()) {
             callback.accept(JobApiResponses.retryLater());
         } else {
-            submissions.submit(spec, callback);
+            submissions.submit(spec, logged("submit", spec.id(), callback));
         }
     }
 
@@ -76,10 +79,29 @@
         } else if (context.finalStates().cached(jobId) == null && isUnavailable()) {
             callback.accept(JobApiResponses.retryLater());
         } else {
-            queries.query(jobId, callback);
+            queries.query(jobId, logged("query", jobId, callback));
         }
     }
 
+    /** Returns a callback that logs a response, and how recent the replica is that it may rest on, at debug level. */
+    private Consumer<Response> logged(String request, String jobId, Consumer<Response> callback) {
+        if (!LOG.isDebugEnabled()) {
+            return callback;
+        }
+        return response -> {
+            LOG.debug(
+                    "job request answered: request={} job={} status={} body={} epoch={} replicaRevision={} replicaAgeMs={}",
+                    request,
+                    jobId,
+                    response.status(),
+                    response.body(),
+                    context.membership().view().epoch(),
+                    context.replica().revision(),
+                    context.membership().replicaAgeMillis());
+            callback.accept(response);
+        };
+    }
+
     /** Handles {@code POST /submissions/ID/abort}. */
     public void cancel(String jobId, Consumer<Response> callback) {
         if (!JobSpec.isValidId(jobId)) {
@@ -87,7 +109,7 @@
         } else if (isUnavailable()) {
             callback.accept(JobApiResponses.retryLater());
         } else {
-            cancel(jobId, MAX_CANCEL_ATTEMPTS, callback);
+            cancel(jobId, MAX_CANCEL_ATTEMPTS, logged("cancel", jobId, callback));
         }
     }
 
--- a/src/main/java/org/havenford/coordination/membership/Membership.java
+++ b/src/main/java/org/havenford/coordination/membership/Membership.java
@@ -20,6 +20,8 @@
 public final class Membership {
     private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
 
+    private static final long UNKNOWN_AGE = -1;
+
     private final EventLoop loop;
     private final StoreClient store;
     private final StoreReplica replica;
@@ -152,6 +154,12 @@
         return verification.isReplicaFresherThan(age, loop.now());
     }
 
+    /** Returns how long ago the replica is known to have been complete, in milliseconds, or -1 if that is unknown. */
+    public long replicaAgeMillis() {
+        Duration age = verification.replicaAge(loop.now());
+        return age == null ? UNKNOWN_AGE : age.toMillis();
+    }
+
     /**
      * Discards what was known before a pause of this process. The node may act again after a comparison sent from now
      * on has succeeded. It evaluates the reachability of other members only after agents have had time to find their
@@ -198,8 +206,9 @@
         unreachableMembers.reset(loop.now());
         verification.viewChanged();
         LOG.info(
-                "view changed: epoch={} members={} reassignedMachines={} cordoned={}",
+                "view changed: epoch={} revision={} members={} reassignedMachines={} cordoned={}",
                 view.epoch(),
+                modRevision,
                 view.members(),
                 view.reassigned().size(),
                 view.cordoned());
--- a/src/main/java/org/havenford/coordination/membership/ViewVerification.java
+++ b/src/main/java/org/havenford/coordination/membership/ViewVerification.java
@@ -91,9 +91,19 @@
      * Returns whether the replica is guaranteed to contain everything committed up to {@code age} before {@code now}.
      */
     boolean isReplicaFresherThan(Duration age, Instant now) {
+        applyReachedComparisons();
+        return verifiedAt != null && now.isBefore(LeaseClock.earliestExpiry(verifiedAt, age));
+    }
+
+    /** Returns how long ago the replica is known to have been complete, or null if that is unknown. */
+    Duration replicaAge(Instant now) {
+        applyReachedComparisons();
+        return verifiedAt == null ? null : Duration.between(verifiedAt, now);
+    }
+
+    private void applyReachedComparisons() {
         while (!pendingComparisons.isEmpty() && pendingComparisons.peek().storeRevision() <= replica.revision()) {
             verifiedAt = pendingComparisons.poll().sentAt();
         }
-        return verifiedAt != null && now.isBefore(LeaseClock.earliestExpiry(verifiedAt, age));
     }
 }
