Clients that send no whole request keep out nobody else and are disconnected in time

Callers saw: beside 3,000 connections that are held (nothing sent, half of a head, a head without its body, a part of a body) on a controller with 1,000 allowed, new connections were not accepted: users and health checks got no answer, the balancer would have taken the controller out. A half-sent head held its connection for ever, one that had sent nothing for 60 s; a head could grow to 1 MiB in memory.

Cause: only the phases after a whole head had a time limit (docs/incidents/unfinished-requests.md), and nothing bounded how many connections without a whole request there are, or the memory they take.

Change: a head must be whole within 10 s and 8 KiB. At most a fifth of the allowed connections may be without a whole first request, or within a body, for longer than a second, and the requests they may send may take 16 MiB at most together: beyond that the oldest are closed (IncompleteRequests). A kept connection that is idle ends after 60 s as before, and is kept only below three quarters of the limit. Undertow's builder gives no hold of accepted connections, so the listener is opened with XNIO directly, with the same options.

--- a/src/main/java/org/havenford/transport/HttpServer.java
+++ b/src/main/java/org/havenford/transport/HttpServer.java
@@ -1,14 +1,20 @@
 package org.havenford.transport;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.xnio.ChannelListeners;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 
 /** An HTTP server, based on Undertow, whose handler runs on the event loop's thread. */
 public final class HttpServer {
@@ -39,15 +45,28 @@
 
     /** Share of the allowed connections above which each is closed after its response, so that others can connect. */
     private static final double KEEP_ALIVE_SHARE = 0.75;
+    /** Share of the allowed connections that may wait for a complete request. */
+    private static final double INCOMPLETE_SHARE = 0.2;
     /** Longer than any client waits for a response. */
     private static final Duration EXCHANGE_TIMEOUT = Duration.ofSeconds(10);
+    /** How long a connection may be idle between two requests, or before its first. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+    private static final int MAX_HEAD_BYTES = 8 * 1024;
+    private static final int BUFFER_BYTES = 4096;
+    /** Buffers that each thread keeps for reuse. */
+    private static final int CACHED_BUFFERS = 4;
+
+    private static final int BACKLOG = 256;
 
     private final XnioLoop loop;
     private final int maxConnections;
     private final Handler handler;
     private final Duration exchangeTimeout;
     private final ExchangeFailureListener failureListener;
-    private final Undertow server;
+    private final InetSocketAddress address;
+    private final IncompleteRequests incompleteRequests;
+    private final HttpOpenListener openListener;
 
     /** Creates a server, which listens on {@code address} once it is started. */
     public HttpServer(XnioLoop loop, InetSocketAddress address, int maxConnections, Handler handler) {
@@ -71,34 +90,66 @@
         this.handler = handler;
         this.exchangeTimeout = exchangeTimeout;
         this.failureListener = failureListener;
-        server = Undertow.builder()
-                .setWorker(loop.thread().getWorker())
-                .setBufferSize(4096)
-                .setDirectBuffers(false)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, maxConnections)
-                .setSocketOption(Options.CONNECTION_LOW_WATER, maxConnections)
-                .setSocketOption(Options.BACKLOG, 256)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
-                .addHttpListener(
-                        address.getPort(), address.getHostString(), new HttpContinueReadHandler(this::startExchange))
-                .build();
+        this.address = address;
+        incompleteRequests = new IncompleteRequests(loop, (int) (maxConnections * INCOMPLETE_SHARE));
+        OptionMap options = OptionMap.builder()
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.ENABLE_STATISTICS, true)
+                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) exchangeTimeout.toMillis())
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, (int) IDLE_TIMEOUT.toMillis())
+                .getMap();
+        openListener =
+                new HttpOpenListener(new DefaultByteBufferPool(false, BUFFER_BYTES, -1, CACHED_BUFFERS), options);
+        openListener.setRootHandler(new HttpContinueReadHandler(this::startExchange));
     }
 
     private void startExchange(HttpServerExchange undertowExchange) {
         ServerExchange exchange = new ServerExchange(
-                undertowExchange, handler, loop, exchangeTimeout, failureListener, this::isNearConnectionLimit);
+                undertowExchange,
+                handler,
+                loop,
+                exchangeTimeout,
+                failureListener,
+                this::isNearConnectionLimit,
+                incompleteRequests);
         undertowExchange.dispatch(SameThreadExecutor.INSTANCE, exchange::start);
     }
 
     /** Starts to listen. */
     public void start() {
-        server.start();
+        OptionMap options = OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, loop.thread().getWorker().getIoThreadCount())
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.BALANCING_TOKENS, 1)
+                .set(Options.BALANCING_CONNECTIONS, 2)
+                .set(Options.CONNECTION_HIGH_WATER, maxConnections)
+                .set(Options.CONNECTION_LOW_WATER, maxConnections)
+                .set(Options.BACKLOG, BACKLOG)
+                .getMap();
+        try {
+            loop.thread()
+                    .getWorker()
+                    .createStreamConnectionServer(
+                            new InetSocketAddress(address.getHostString(), address.getPort()),
+                            ChannelListeners.openListenerAdapter(this::accept),
+                            options)
+                    .resumeAccepts();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void accept(StreamConnection connection) {
+        incompleteRequests.add(connection, MAX_HEAD_BYTES);
+        openListener.handleEvent(connection);
     }
 
     /** Returns the number of open inbound connections. */
     public int openConnections() {
-        return (int) server.getListenerInfo().get(0).getConnectorStatistics().getActiveConnections();
+        return (int) openListener.getConnectorStatistics().getActiveConnections();
     }
 
     /**
--- a/src/main/java/org/havenford/transport/ServerExchange.java
+++ b/src/main/java/org/havenford/transport/ServerExchange.java
@@ -3,6 +3,7 @@
 import io.undertow.io.IoCallback;
 import io.undertow.io.Receiver;
 import io.undertow.io.Sender;
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -19,6 +20,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 
 /**
@@ -48,6 +50,10 @@
     private final Duration timeout;
     private final ExchangeFailureListener failureListener;
     private final BooleanSupplier closesConnection;
+    private final IncompleteRequests incompleteRequests;
+    /** The connection on which the request arrives. */
+    private final StreamConnection connection;
+
     private Phase phase = Phase.RECEIVING;
     /** Cancels the timeout; null if none is pending. */
     private XnioExecutor.Key timeoutKey;
@@ -57,6 +63,7 @@
      *
      * @param timeout the longest time for each of receiving and handling a request, and sending the response
      * @param closesConnection returns whether the connection is closed after the response
+     * @param incompleteRequests holds the connection until the request has been received
      */
     ServerExchange(
             HttpServerExchange exchange,
@@ -64,13 +71,16 @@
             XnioLoop loop,
             Duration timeout,
             ExchangeFailureListener failureListener,
-            BooleanSupplier closesConnection) {
+            BooleanSupplier closesConnection,
+            IncompleteRequests incompleteRequests) {
         this.exchange = exchange;
         this.handler = handler;
         this.loop = loop;
         this.timeout = timeout;
         this.failureListener = failureListener;
         this.closesConnection = closesConnection;
+        this.incompleteRequests = incompleteRequests;
+        connection = ((AbstractServerConnection) exchange.getConnection()).getChannel();
     }
 
     /** Starts to receive the request. */
@@ -90,6 +100,7 @@
     }
 
     private void receiveBody() {
+        incompleteRequests.add(connection, expectedBodyBytes());
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(HttpServer.MAX_BODY_BYTES);
         receiver.receiveFullBytes(
@@ -97,6 +108,12 @@
                 (failed, error) -> dispatch(() -> receiveFailed(error)));
     }
 
+    /** Returns how much memory the body may take; one that is longer, or whose length is not told, may take the most. */
+    private int expectedBodyBytes() {
+        long length = exchange.getRequestContentLength();
+        return length < 0 || length > HttpServer.MAX_BODY_BYTES ? HttpServer.MAX_BODY_BYTES : (int) length;
+    }
+
     /**
      * Runs a task outside of Undertow's callbacks. When a callback returns, Undertow ends the exchange, with whatever
      * response it has by then, unless a task was dispatched.
@@ -120,6 +137,7 @@
 
     private void handle(byte[] body) {
         phase = Phase.HANDLING;
+        incompleteRequests.remove(connection);
         if (timeoutKey != null) {
             restartTimeout();
         }
--- a/src/test/java/org/havenford/testing/RawHttpConnection.java
+++ b/src/test/java/org/havenford/testing/RawHttpConnection.java
@@ -35,10 +35,15 @@
             if (i > 0) {
                 Thread.sleep(PACKET_GAP.toMillis());
             }
-            socket.getOutputStream().write(packets[i].getBytes(StandardCharsets.UTF_8));
+            send(packets[i].getBytes(StandardCharsets.UTF_8));
         }
     }
 
+    /** Sends bytes at once. */
+    public void send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+    }
+
     /** Reads one response; the body of one without a Content-Length field is empty. */
     public Reply read() throws IOException {
         InputStream in = socket.getInputStream();
