A sound submission is not refused for a deeply nested unknown field

Callers saw: 400 for a submission whose unknown field is nested more than 255 deep; receivers must ignore unknown fields.

Cause: Gson's reader has a nesting limit of 255 by default.

Change: the limit is above what the largest body can hold. The tree is built without recursion, so depth costs no stack.

--- a/src/main/java/org/havenford/protocol/Json.java
+++ b/src/main/java/org/havenford/protocol/Json.java
@@ -27,6 +27,8 @@
     private static final int MAX_DIGITS = 19;
     /** Limits the exponent: conversion to a long would first expand a number like 1e1000000 to all of its digits. */
     private static final int MIN_SCALE = -20;
+    /** Nesting deeper than any text of the largest body can have, as unknown fields may be nested at will. */
+    private static final int MAX_NESTING = 64 * 1024;
 
     private Json() {}
 
@@ -35,6 +37,7 @@
         try {
             JsonReader reader = new JsonReader(new StringReader(text));
             reader.setStrictness(Strictness.STRICT);
+            reader.setNestingLimit(MAX_NESTING);
             JsonElement root = JsonParser.parseReader(reader);
             if (!root.isJsonObject()) {
                 throw new MalformedMessageException("not an object");
