Check that late commands and late requests to the cloud break no rule and leave no task unclaimed

Need: a start command that is held up might run after its job's time for cancelling; machines rented or returned late, or back within a second, might run tasks that no controller knows of.

While they run, each attempt must be claimed in the store for its machine and the incarnation of its agent (ClaimInvariant).

--- a/src/test/java/org/havenford/simulator/InvariantChecker.java
+++ b/src/test/java/org/havenford/simulator/InvariantChecker.java
@@ -23,6 +23,9 @@
     private final PlacementInvariant placement;
     private final WaitingInvariant waiting;
     private final FailoverInvariant takeover;
+    private final ClaimInvariant claims;
+    /** Whether each running attempt must be claimed in the store. */
+    boolean checksClaims;
     /** The first violations, each with its time and rule. */
     final List<String> violations = new ArrayList<>();
 
@@ -51,6 +54,7 @@
         placement = new PlacementInvariant(simulator, this);
         waiting = new WaitingInvariant(simulator, this);
         takeover = new FailoverInvariant(simulator, this);
+        claims = new ClaimInvariant(simulator, this);
     }
 
     /** Records a violation of a rule. */
@@ -176,6 +180,9 @@
                 }
                 SimulatedUsers.Job job = simulator.users.jobs.get(RunningTasks.jobIdOf(attempt.taskId));
                 cpusByTeam.merge(job.team, job.cpus, Double::sum);
+                if (checksClaims) {
+                    claims.check(agent, attempt);
+                }
                 if (isCancellationOverdue(job)) {
                     recordViolation("ran_cancelled", attempt.taskId + " is still running on " + agent.name);
                 }
--- a/src/test/java/org/havenford/simulator/SimulatedCloud.java
+++ b/src/test/java/org/havenford/simulator/SimulatedCloud.java
@@ -53,6 +53,11 @@
 
     private int nextMachineNumber;
     boolean outage;
+    /** Number of upcoming instance and return requests that are carried out late and never answered. */
+    int lateRequests;
+    /** How long after their arrival late requests are carried out. */
+    Duration lateRequestDelay;
+
     List<String> zones = List.of("a", "b", "c");
     /** Zones in which machines launched from now on never finish booting. */
     final Set<String> zonesWithoutBoot = new HashSet<>();
@@ -111,6 +116,15 @@
 
     @Override
     public void handle(String method, String path, String body, Consumer<Reply> callback) {
+        if (lateRequests > 0 && method.equals("POST")) {
+            lateRequests--;
+            simulator.after(lateRequestDelay, () -> answer(path, body, reply -> {}));
+            return;
+        }
+        answer(path, body, callback);
+    }
+
+    private void answer(String path, String body, Consumer<Reply> callback) {
         if (outage) {
             callback.accept(new Reply(503, "{\"error\":\"trouble\"}"));
         } else if (path.equals("/machine_types")) {
--- a/src/test/java/org/havenford/simulator/TraceCommands.java
+++ b/src/test/java/org/havenford/simulator/TraceCommands.java
@@ -184,6 +184,10 @@
         commands.put("lit-zone", (simulator, args) -> simulator.cloud.zonesWithoutBoot.remove(args.word(0)));
         commands.put("boots", (simulator, args) -> simulator.cloud.bootTime = args.seconds(0));
         commands.put("boots-usually", (simulator, args) -> simulator.cloud.bootTime = null);
+        commands.put("late-cloud-requests", (simulator, args) -> {
+            simulator.cloud.lateRequests = args.integer(0);
+            simulator.cloud.lateRequestDelay = args.seconds(1);
+        });
         commands.put("cloud-outage", (simulator, args) -> simulator.cloud.outage = args.isOn(0));
         commands.put("take", (simulator, args) -> simulator.cloud.terminate(args.word(0)));
     }
@@ -194,6 +198,7 @@
         commands.put("wake", (simulator, args) -> agent(simulator, args).hang(false));
         commands.put("faulty", (simulator, args) -> agent(simulator, args).faulty = true);
         commands.put("slow-fetch", (simulator, args) -> agent(simulator, args).pullSlowdown = args.decimal(1));
+        commands.put("check-claims", (simulator, args) -> simulator.invariants.checksClaims = args.isOn(0));
         commands.put("notice", (simulator, args) -> agent(simulator, args).spotNoticeSeconds = args.decimal(1));
     }
 
