Connections closed for lack of a complete request are logged, and tried on a real process

Need: a bound that is reached must be told; and the memory of half-sent bodies is bounded only on a process with the heap of the deploy file.

Change: IncompleteRequests logs how many connections it closed, once a second at most.

--- a/src/main/java/org/havenford/transport/IncompleteRequests.java
+++ b/src/main/java/org/havenford/transport/IncompleteRequests.java
@@ -6,6 +6,8 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 
 /**
@@ -14,12 +16,14 @@
  * keep out nobody else. Confined to the event loop.
  */
 final class IncompleteRequests {
+    private static final Logger LOG = LoggerFactory.getLogger(IncompleteRequests.class);
     /** Memory of all incomplete requests together, in bytes. */
     private static final long MAX_TOTAL_BYTES = 16L << 20;
     /** Age up to which a connection is not closed for the number of others: its request may still be on its way. */
     private static final Duration MIN_AGE = Duration.ofSeconds(1);
 
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
+    private static final Duration LOG_INTERVAL = Duration.ofSeconds(1);
 
     /** When a connection began to wait for its request, and how much memory the request may take. */
     private record Entry(Instant since, int bytes) {}
@@ -29,6 +33,8 @@
     private final Map<Channel, Entry> entries = new LinkedHashMap<>();
     private long totalBytes;
     private boolean checkScheduled;
+    /** Connections closed since the last log line; if there are any, a line is scheduled. */
+    private int closedSinceLog;
 
     /** Creates an empty collection in which at most {@code maxConnections} stay for longer than a second. */
     IncompleteRequests(EventLoop loop, int maxConnections) {
@@ -70,6 +76,7 @@
             oldestFirst.remove();
             totalBytes -= oldest.getValue().bytes();
             IoUtils.safeClose(oldest.getKey());
+            countClosed();
         }
         if (isOverLimits() && !checkScheduled) {
             checkScheduled = true;
@@ -77,6 +84,18 @@
         }
     }
 
+    private void countClosed() {
+        closedSinceLog++;
+        if (closedSinceLog == 1) {
+            loop.after(LOG_INTERVAL, this::logClosed);
+        }
+    }
+
+    private void logClosed() {
+        LOG.warn("connections closed, too many without a complete request: connections={}", closedSinceLog);
+        closedSinceLog = 0;
+    }
+
     private void check() {
         checkScheduled = false;
         if (isOverLimits()) {
--- a/src/test/java/org/havenford/simulator/LoopbackApiTest.java
+++ b/src/test/java/org/havenford/simulator/LoopbackApiTest.java
@@ -8,8 +8,10 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.havenford.storage.records.Keys;
 import org.havenford.testing.RawHttpConnection;
 import org.havenford.transport.HttpCalls.Reply;
@@ -22,6 +24,13 @@
     private static final String TEAM = "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0}";
     private static final String NO_STANDBY = "<havenford/>";
     private static final double TIMEOUT_SECONDS = 30;
+    private static final int HELD_CONNECTIONS = 3000;
+    /** The load balancer's timeout of a health check. */
+    private static final double HEALTH_CHECK_SECONDS = 1;
+    /** How long users wait for the answer to a submission. */
+    private static final double USER_SECONDS = 5;
+
+    private static final String NODE = "node-0";
 
     @TempDir
     Path directory;
@@ -37,26 +46,9 @@
         return SimulatedUsers.submissionJson(job).toString();
     }
 
-    private static int port(LoopbackCluster loopback) {
-        String bind = loopback.simulator.controllers.get("node-0").settings.bind();
-        return Integer.parseInt(bind.substring(bind.indexOf(':') + 1));
-    }
-
     /** Sends a request over a connection of its own, while the simulated store and cloud run. */
     private static Reply send(LoopbackCluster loopback, String... packets) throws InterruptedException {
-        int port = port(loopback);
-        CompletableFuture<Reply> reply = CompletableFuture.supplyAsync(() -> {
-            try (RawHttpConnection connection = new RawHttpConnection(port)) {
-                connection.send(packets);
-                return connection.read();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        assertTrue(loopback.runUntil(reply::isDone, TIMEOUT_SECONDS), "no answer");
-        return reply.join();
+        return loopback.request(NODE, connection -> connection.send(packets), TIMEOUT_SECONDS);
     }
 
     private static Reply get(LoopbackCluster loopback, String path) throws InterruptedException {
@@ -173,7 +165,7 @@
     void cancellationThatBreaksOffIsLoggedAndNotCarriedOut() throws Exception {
         onCluster(loopback -> {
             submitInOnePacket(loopback, "j-1");
-            try (RawHttpConnection connection = new RawHttpConnection(port(loopback))) {
+            try (RawHttpConnection connection = new RawHttpConnection(loopback.portOf(NODE))) {
                 connection.send(RawHttpConnection.head("POST", "/submissions/j-1/abort", "Content-Length: 2"), "{");
             }
             String expectedLine = "exchanges failed: counts={INCOMPLETE_REQUEST=1}";
@@ -183,9 +175,46 @@
         });
     }
 
+    /** Guards against clients that send half of a body and so block a controller, or exhaust its memory. */
+    @Test
+    @Timeout(120)
+    void usersAreAnsweredBesideThousandsOfHalfSentSubmissions() throws Exception {
+        onCluster(loopback -> {
+            List<RawHttpConnection> held = new CopyOnWriteArrayList<>();
+            CompletableFuture<Void> holding = CompletableFuture.runAsync(() -> hold(loopback, held));
+            assertTrue(loopback.runUntil(holding::isDone, TIMEOUT_SECONDS), "the controller accepts no connections");
+            holding.join();
+            for (int i = 1; i <= 5; i++) {
+                double start = loopback.seconds();
+                assertEquals(200, get(loopback, "/healthz").status());
+                assertTrue(loopback.seconds() - start < HEALTH_CHECK_SECONDS);
+                assertEquals(201, submit(loopback, "j-" + i, "red").status());
+                assertTrue(loopback.seconds() - start < USER_SECONDS);
+            }
+            for (RawHttpConnection connection : held) {
+                connection.close();
+            }
+        });
+    }
+
+    private static void hold(LoopbackCluster loopback, List<RawHttpConnection> held) {
+        String head = RawHttpConnection.head("POST", "/submissions", "Content-Length: 60000");
+        for (int i = 0; i < HELD_CONNECTIONS; i++) {
+            try {
+                RawHttpConnection connection = new RawHttpConnection(loopback.portOf(NODE));
+                held.add(connection);
+                connection.send(head + " ".repeat(30_000));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
     private static String log(LoopbackCluster loopback) {
         try {
-            return loopback.controllers.get("node-0").log();
+            return loopback.controllers.get(NODE).log();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/test/java/org/havenford/simulator/LoopbackCluster.java
+++ b/src/test/java/org/havenford/simulator/LoopbackCluster.java
@@ -1,5 +1,7 @@
 package org.havenford.simulator;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
@@ -29,6 +31,7 @@
 import java.util.function.Consumer;
 import org.havenford.protocol.MalformedMessageException;
 import org.havenford.settings.PlatformSettings;
+import org.havenford.testing.RawHttpConnection;
 import org.havenford.transport.HttpCalls.Reply;
 
 /**
@@ -171,6 +174,34 @@
                 });
     }
 
+    /** Sends a request over a connection, in whatever packets. */
+    interface RequestSender {
+        void send(RawHttpConnection connection) throws IOException, InterruptedException;
+    }
+
+    /** Returns the port at which a controller serves. */
+    int portOf(String node) {
+        String bind = simulator.controllers.get(node).settings.bind();
+        return Integer.parseInt(bind.substring(bind.indexOf(':') + 1));
+    }
+
+    /** Sends a request to a controller over a connection of its own, and runs the simulation until it is answered. */
+    Reply request(String node, RequestSender sender, double timeoutSeconds) throws InterruptedException {
+        int port = portOf(node);
+        CompletableFuture<Reply> reply = CompletableFuture.supplyAsync(() -> {
+            try (RawHttpConnection connection = new RawHttpConnection(port)) {
+                sender.send(connection);
+                return connection.read();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertTrue(runUntil(reply::isDone, timeoutSeconds), "no answer");
+        return reply.join();
+    }
+
     /** Returns the seconds since this cluster was created. */
     double seconds() {
         return (System.nanoTime() - startNanos) / 1e9;
--- a/src/test/java/org/havenford/simulator/SubmissionFormsTest.java
+++ b/src/test/java/org/havenford/simulator/SubmissionFormsTest.java
@@ -1,17 +1,13 @@
 package org.havenford.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.havenford.storage.records.Keys;
 import org.havenford.testing.RawHttpConnection;
@@ -25,6 +21,7 @@
 class SubmissionFormsTest {
     private static final String TEAM = "{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0}";
     private static final double TIMEOUT_SECONDS = 30;
+    private static final String NODE = "node-0";
     private static final String PLAIN = "{\"nameId\":\"ID\",\"lineup\":\"cut\",\"crew\":\"red\",\"shape\":\"batch\","
             + "\"urgency\":\"normal\",\"shots\":4,\"vcpus\":4,\"cards\":0,\"memGb\":8,\"reel\":\"img-1\",\"imageGb\":1,"
             + "\"rigs\":null,\"hall\":null,\"together\":false,\"apart\":false,\"borrowed\":true,\"guessS\":20,"
@@ -114,21 +111,13 @@
     }
 
     private static Reply submit(LoopbackCluster loopback, byte[] body) throws InterruptedException {
-        String bind = loopback.simulator.controllers.get("node-0").settings.bind();
-        int port = Integer.parseInt(bind.substring(bind.indexOf(':') + 1));
-        CompletableFuture<Reply> reply = CompletableFuture.supplyAsync(() -> {
-            try (RawHttpConnection connection = new RawHttpConnection(port)) {
-                connection.send(RawHttpConnection.head("POST", "/submissions", "Content-Length: " + body.length));
-                connection.send(body);
-                return connection.read();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        assertTrue(loopback.runUntil(reply::isDone, TIMEOUT_SECONDS), "no answer");
-        return reply.join();
+        return loopback.request(
+                NODE,
+                connection -> {
+                    connection.send(RawHttpConnection.head("POST", "/submissions", "Content-Length: " + body.length));
+                    connection.send(body);
+                },
+                TIMEOUT_SECONDS);
     }
 
     private static int statusOf(LoopbackCluster loopback, String body) throws InterruptedException {
