What all exchanges of a server share stands in one record

Change: ExchangeContext holds the server's part of an exchange; the summary is reworded. Nothing else changes.

--- a/src/main/java/org/havenford/transport/HttpServer.java
+++ b/src/main/java/org/havenford/transport/HttpServer.java
@@ -61,9 +61,7 @@
 
     private final XnioLoop loop;
     private final int maxConnections;
-    private final Handler handler;
-    private final Duration exchangeTimeout;
-    private final ExchangeFailureListener failureListener;
+    private final ExchangeContext exchangeContext;
     private final InetSocketAddress address;
     private final IncompleteRequests incompleteRequests;
     private final HttpOpenListener openListener;
@@ -87,11 +85,10 @@
             ExchangeFailureListener failureListener) {
         this.loop = loop;
         this.maxConnections = maxConnections;
-        this.handler = handler;
-        this.exchangeTimeout = exchangeTimeout;
-        this.failureListener = failureListener;
         this.address = address;
         incompleteRequests = new IncompleteRequests(loop, (int) (maxConnections * INCOMPLETE_SHARE));
+        exchangeContext = new ExchangeContext(
+                handler, loop, exchangeTimeout, failureListener, this::isNearConnectionLimit, incompleteRequests);
         OptionMap options = OptionMap.builder()
                 .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
@@ -106,14 +103,7 @@
     }
 
     private void startExchange(HttpServerExchange undertowExchange) {
-        ServerExchange exchange = new ServerExchange(
-                undertowExchange,
-                handler,
-                loop,
-                exchangeTimeout,
-                failureListener,
-                this::isNearConnectionLimit,
-                incompleteRequests);
+        ServerExchange exchange = new ServerExchange(undertowExchange, exchangeContext);
         undertowExchange.dispatch(SameThreadExecutor.INSTANCE, exchange::start);
     }
 
--- a/src/main/java/org/havenford/transport/ServerExchange.java
+++ b/src/main/java/org/havenford/transport/ServerExchange.java
@@ -58,28 +58,15 @@
     /** Cancels the timeout; null if none is pending. */
     private XnioExecutor.Key timeoutKey;
 
-    /**
-     * Creates an exchange that does nothing until it is started.
-     *
-     * @param timeout the longest time for each of receiving and handling a request, and sending the response
-     * @param closesConnection returns whether the connection is closed after the response
-     * @param incompleteRequests holds the connection until the request has been received
-     */
-    ServerExchange(
-            HttpServerExchange exchange,
-            Handler handler,
-            XnioLoop loop,
-            Duration timeout,
-            ExchangeFailureListener failureListener,
-            BooleanSupplier closesConnection,
-            IncompleteRequests incompleteRequests) {
+    /** Creates an exchange that does nothing until it is started. */
+    ServerExchange(HttpServerExchange exchange, ExchangeContext context) {
         this.exchange = exchange;
-        this.handler = handler;
-        this.loop = loop;
-        this.timeout = timeout;
-        this.failureListener = failureListener;
-        this.closesConnection = closesConnection;
-        this.incompleteRequests = incompleteRequests;
+        this.handler = context.handler();
+        this.loop = context.loop();
+        this.timeout = context.timeout();
+        this.failureListener = context.failureListener();
+        this.closesConnection = context.closesConnection();
+        this.incompleteRequests = context.incompleteRequests();
         connection = ((AbstractServerConnection) exchange.getConnection()).getChannel();
     }
 
--- a/src/test/java/org/havenford/transport/HeldConnectionsTest.java
+++ b/src/test/java/org/havenford/transport/HeldConnectionsTest.java
@@ -29,7 +29,7 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
-/** Tests that clients which send no request, or only a part of one, keep out nobody else and are disconnected in time. */
+/** Tests that clients which send no request, or only a part of one, do not block other clients and are disconnected in time. */
 class HeldConnectionsTest {
     private static final int MAX_CONNECTIONS = 1000;
     private static final int HELD_CONNECTIONS = 3000;
