Stand-ins of the second review in a package of their own

Cause: review/build.sh compiles all sources below review/, where the stand-ins of both reviews had classes of the same names.

--- a/review/standins-2/FormerLife.java
+++ b/review/standins-2/FormerLife.java
@@ -1,3 +1,5 @@
+package second;
+
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.util.ArrayList;
--- a/review/standins-2/OneError.java
+++ b/review/standins-2/OneError.java
@@ -1,3 +1,5 @@
+package second;
+
 import com.google.gson.JsonObject;
 
 /** A task fails once, on the only machine that its job may use; the machine is sound and idle from then on. */
--- a/review/standins-2/WideRelease.java
+++ b/review/standins-2/WideRelease.java
@@ -1,3 +1,5 @@
+package second;
+
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -1,3 +1,5 @@
+package second;
+
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
