--- a/review/standins-2/TwoTeams.java
+++ b/review/standins-2/TwoTeams.java
@@ -35,13 +35,18 @@
         }
         World.sleep(3);
         w.note("the large team has no work any more; shares: %s", w.store.value("live/team/photo_video"));
-        for (int i = 0; i < 12; i++) {
-            submit(w, next.incrementAndGet(), small, 80, 1.0 + 0.13 * (i % 4), i);
-        }
         double most = 0;
         double over = -1;
-        while (w.now() < 110 && (over < 0 || w.now() < over + 3)) {
+        double busyAt = 0;
+        while (w.now() < 108 && (over < 0 || w.now() < over + 3)) {
+            if (w.now() > busyAt + 2 && over < 0) {
+                for (int i = 0; i < 4; i++) {
+                    submit(w, next.incrementAndGet(), small, 80, 1.0 + 0.13 * i, i);
+                }
+                busyAt = w.now();
+            }
             double used = used(w, small);
+            busyAt = used > 0 ? w.now() : busyAt;
             if (used > most) {
                 most = used;
                 w.note("%s uses %.0f of %.0f CPUs", small, used, SMALL_LIMIT);
