--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
     echo "run the build of deploy/service.toml and review/build-2.sh first"
     exit 2
 fi
-exec java -Xmx1g -Dsun.net.httpserver.nodelay=true -cp target/review-2:target/havenford.jar second.TwoTeams review/8
+exec java -Xmx1g -Dsun.net.httpserver.nodelay=true -cp target/review-2:target/havenford.jar second.TightCancel review/8
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -53,8 +53,6 @@
     String[] zones = {"krpole", "zidenice", "cernovice"};
     String team = "replaydesk";
     double cpusMax = 0;
-    /** Teams with their limits, in place of the one team above; empty for none. */
-    final Map<String, Double> teams = new LinkedHashMap<>();
     double reportS = 3;
     double leaseS = 26;
     double cancelS = 46;
@@ -474,16 +472,13 @@
         Stream.of(world.zones).sorted().forEach(zones::add);
         deployment.add("zones", zones);
         JsonArray teams = new JsonArray();
-        Map<String, Double> limits = world.teams.isEmpty() ? Map.of(world.team, world.cpusMax) : world.teams;
-        limits.forEach((name, limit) -> {
-            JsonObject team = new JsonObject();
-            team.addProperty("name", name);
-            team.addProperty("cpus", 0.0);
-            team.addProperty("cpus_max", limit);
-            team.addProperty("gpus", 0.0);
-            team.addProperty("gpus_max", 0.0);
-            teams.add(team);
-        });
+        JsonObject team = new JsonObject();
+        team.addProperty("name", world.team);
+        team.addProperty("cpus", 0.0);
+        team.addProperty("cpus_max", world.cpusMax);
+        team.addProperty("gpus", 0.0);
+        team.addProperty("gpus_max", 0.0);
+        teams.add(team);
         deployment.add("teams", teams);
         deployment.add("objectives", new JsonArray());
         JsonObject workers = new JsonObject();
