Stand-ins of the second review take ports that no outgoing connection gets

Cause: of four scripts started at once one could not run, as its controllers did not get ready; a port found free may have been taken by an outgoing connection before the controller listened (not seen itself). Change: ports from 15,000 to 29,999.

--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -37,6 +37,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -138,10 +139,17 @@
         Thread.sleep((long) (seconds * 1000));
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections, which might take it first. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 1000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // It is taken.
+            }
         }
+        throw new IOException("no free port");
     }
 
     void start() throws IOException {
