--- a/review/standins-2/Stages.java
+++ b/review/standins-2/Stages.java
@@ -19,7 +19,6 @@
 
     private static void play(String folder) throws Exception {
         World w = new World(folder);
-        w.quietTasks = true;
         w.machinesPerZone = 5;
         w.start();
         w.awaitReady(20);
@@ -73,6 +72,9 @@
                 World.sleep(0.05);
             }
             w.note("stage %d: %d jobs accepted", stage + 1, accepted.get());
+            if (stage < STAGES - 1 && accepted.get() < WIDTH) {
+                w.cannotRun("the first stages were not accepted in time");
+            }
             from = Math.max(from, w.now() - sent / PER_SECOND);
         }
         while (w.now() < COUNT_UNTIL_S) {
--- a/review/standins-2/WideRelease.java
+++ b/review/standins-2/WideRelease.java
@@ -20,7 +20,6 @@
         // With TROUBLE=0 all is the same, but the lists are short.
         int names = World.trouble() ? 660 : 60;
         int needed = 660;
-        w.quietTasks = true;
         w.machinesPerZone = 5;
         w.start();
         w.awaitReady(20);
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -316,6 +316,7 @@
         Answer answer = new Answer(0, "");
         while (now() < until) {
             answer = call("POST", node[at % nodes].bind, "/submissions", job.toString(), 5);
+            note("user submits %s to %s: %d %s", id, node[at % nodes].name, answer.status, answer.body);
             if (answer.status == 200 || answer.status == 201 || answer.status == 400 || answer.status == 422) {
                 return answer;
             }
@@ -326,11 +327,15 @@
     }
 
     Answer poll(String id, int nodeIndex) {
-        return call("GET", node[nodeIndex % nodes].bind, "/submissions/" + id, null, 2);
+        Answer answer = call("GET", node[nodeIndex % nodes].bind, "/submissions/" + id, null, 2);
+        note("user asks %s about %s: %d %s", node[nodeIndex % nodes].name, id, answer.status, answer.body);
+        return answer;
     }
 
     Answer abort(String id, int nodeIndex) {
-        return call("POST", node[nodeIndex % nodes].bind, "/submissions/" + id + "/abort", null, 5);
+        Answer answer = call("POST", node[nodeIndex % nodes].bind, "/submissions/" + id + "/abort", null, 5);
+        note("user cancels %s at %s: %d %s", id, node[nodeIndex % nodes].name, answer.status, answer.body);
+        return answer;
     }
 
     // ---- what the tasks do ----
@@ -343,9 +348,7 @@
             }
             machines.add(machine);
         }
-        if (!quietTasks) {
-            note("task %s attempt %d starts on %s", task, attempt, machine);
-        }
+        note("task %s attempt %d starts on %s", task, attempt, machine);
     }
 
     /** Jobs of which a task has completed. */
@@ -366,17 +369,13 @@
         if (why.equals("done")) {
             completed.add(task.substring(0, task.indexOf('/')));
         }
-        if (!quietTasks) {
-            note("task %s attempt %d is off %s: %s", task, attempt, machine, why);
-        }
+        note("task %s attempt %d is off %s: %s", task, attempt, machine, why);
     }
 
     /** Tasks whose next run fails. */
     final Set<String> failing = ConcurrentHashMap.newKeySet();
     /** By how much, as a share, the run times of a job's tasks vary around its own. */
     double vary = 0;
-    /** Whether starts and ends of tasks are left out of the record. */
-    boolean quietTasks = false;
 
     // ---- a server ----
 
@@ -1232,6 +1231,7 @@
     private synchronized void execute(JsonArray cues) {
         for (JsonElement element : cues) {
             JsonObject cue = element.getAsJsonObject();
+            world.note("%s is told %s", name, cue);
             String task = cue.get("shot").getAsString();
             long take = cue.get("take").getAsLong();
             switch (cue.get("cue").getAsString()) {
