An owner counts as stopped only if its own lease is known to have expired

Cause: a right that rested on the absence of a key. AgentRegistry.takeOver took a former owner that the view no longer names for one without a lease. A registration has no condition, so a copy of it can end a member's registration before its lease ends; a view may also name the former incarnation in between. The same method looked at the last view alone, and at none before the process started.

Change: FormerOwners bounds what former owners can do by what they know themselves: each answers for one membership lease after it found its view in the store, so it stops one lease after that view was replaced. Earlier only if its own registration was deleted by the store, which proves the end of the lease it hung on, unless an eviction deleted it. All views replaced within a lease count, unseen ones too.

Why this works: the bound needs no key, only the former owner's clock; a crash still gives the proof, so failovers take as long as before.

--- a/src/main/java/org/havenford/coordination/agents/AgentRegistry.java
+++ b/src/main/java/org/havenford/coordination/agents/AgentRegistry.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.havenford.storage.records.ClusterView;
 import org.havenford.storage.records.MachineRecord;
@@ -16,7 +17,6 @@
     private final AgentContext context;
     private final Object2ObjectOpenHashMap<String, AgentState> agents = new Object2ObjectOpenHashMap<>();
     private ClusterView previousView = ClusterView.empty();
-    private boolean viewReceived;
 
     AgentRegistry(AgentContext context) {
         this.context = context;
@@ -29,7 +29,8 @@
 
     /** Returns the agent of an owned machine, taking it over first if it is not registered yet. */
     AgentState getOrTakeOver(String machine) {
-        return agents.computeIfAbsent(machine, name -> takeOver((String) name));
+        return agents.computeIfAbsent(
+                machine, name -> takeOver((String) name, context.membership().latestRenewalByAnyOwner()));
     }
 
     Collection<AgentState> all() {
@@ -68,50 +69,42 @@
             if (!context.owns(machine)) {
                 reassigned.add(agents.remove(machine));
             } else if (!sameIncarnation) {
-                agents.put(machine, takeOver(machine));
+                agents.put(machine, takeOverFromFormerOwner(machine));
             } else {
                 agents.get(machine).startEpoch(view.epoch());
             }
         }
-        // Taking over machines needs the previous view, which names their former owners.
-        takeOverOwnedMachines();
+        forEachOwnedMachine(machine -> agents.computeIfAbsent(machine, name -> takeOverFromFormerOwner((String) name)));
         previousView = view;
-        viewReceived = true;
         return reassigned;
     }
 
     /** Takes over the agents of all owned machines that have a record or claims. */
     void takeOverOwnedMachines() {
+        forEachOwnedMachine(this::getOrTakeOver);
+    }
+
+    /** Visits all owned machines that have a record or claims, some of them twice. */
+    private void forEachOwnedMachine(Consumer<String> visitor) {
         for (MachineRecord machine : context.clusterState().machines()) {
             if (context.owns(machine.name())) {
-                getOrTakeOver(machine.name());
+                visitor.accept(machine.name());
             }
         }
         for (String machine : context.clusterState().claimedMachines()) {
             if (context.owns(machine)) {
-                getOrTakeOver(machine);
+                visitor.accept(machine);
             }
         }
     }
 
-    /**
-     * Creates the state of an agent with the latest time at which a former owner can renew the agent's lease. A former owner
-     * that left the view without eviction has already lost its own lease, so that time is now. A former owner that is still
-     * a member, or that is unknown, may not have seen the new view yet and can go on until its own lease ends.
-     */
-    private AgentState takeOver(String machine) {
-        String formerOwner = previousView.owner(machine);
-        Long incarnation = formerOwner == null ? null : previousView.members().get(formerOwner);
-        // An evicted owner may rely on its lease until that expires by its own clock. Covered by
-        // stalled-owner-is-evicted.trace.
-        boolean formerOwnerLeaseEnded = viewReceived
-                && formerOwner != null
-                && !context.membership().isMember(formerOwner, incarnation)
-                && !context.membership().view().wasEvicted(formerOwner, incarnation);
-        Instant now = context.loop().now();
-        AgentState agent = new AgentState(
-                machine,
-                formerOwnerLeaseEnded ? now : now.plus(context.membership().leaseDuration()));
+    private AgentState takeOverFromFormerOwner(String machine) {
+        return takeOver(machine, context.membership().latestRenewalByFormerOwner(machine));
+    }
+
+    /** Creates the state of an agent whose lease no other controller can renew after {@code latestRenewal}. */
+    private AgentState takeOver(String machine, Instant latestRenewal) {
+        AgentState agent = new AgentState(machine, latestRenewal);
         agent.startEpoch(context.membership().view().epoch());
         MachineRecord machineRecord = context.clusterState().machine(machine);
         if (machineRecord != null && machineRecord.condition() == Condition.SILENT) {
--- a/src/main/java/org/havenford/coordination/membership/Membership.java
+++ b/src/main/java/org/havenford/coordination/membership/Membership.java
@@ -30,6 +30,7 @@
     private final MembershipListener listener;
     private final CurrentView currentView = new CurrentView();
     private final OwnerCache ownerCache = new OwnerCache();
+    private final FormerOwners formerOwners;
     private final MemberRegistry registry;
     private final ViewVerification verification;
     private final MembershipLease lease;
@@ -50,6 +51,7 @@
         this.node = settings.node();
         this.leaseDuration = settings.leaseDuration();
         this.listener = listener;
+        formerOwners = new FormerOwners(node, leaseDuration);
         registry = new MemberRegistry(settings.configuredNodes());
         verification = new ViewVerification(loop, store, replica, currentView);
         lease = new MembershipLease(loop, store, replica, verification, settings);
@@ -94,6 +96,19 @@
         return ownerCache.owner(currentView.view(), machine);
     }
 
+    /**
+     * Returns the latest time at which a former owner of a machine can renew the lease of its agent. Valid for machines
+     * that the current view has just given to another owner.
+     */
+    public Instant latestRenewalByFormerOwner(String machine) {
+        return formerOwners.latestRenewal(machine, loop.now());
+    }
+
+    /** Returns the latest time at which any other controller can renew the lease of an agent that this one owns. */
+    public Instant latestRenewalByAnyOwner() {
+        return formerOwners.latestRenewalByAnyOwner(loop.now());
+    }
+
     /** Returns the store revision that the replica has reached. */
     public long replicaRevision() {
         return replica.revision();
@@ -104,11 +119,6 @@
         return replica.revision() >= currentView.modRevision();
     }
 
-    /** Returns the duration of the membership lease. */
-    public Duration leaseDuration() {
-        return leaseDuration;
-    }
-
     /** Returns whether the membership lease is guaranteed to be valid now. */
     public boolean holdsLease() {
         return lease.isValidAt(loop.now());
@@ -181,7 +191,12 @@
 
     /** Handles a changed registration; {@code registration} is null if the key was deleted. */
     public void registrationChanged(String member, MemberRegistration registration, long modRevision) {
+        Long formerIncarnation = registry.incarnations().get(member);
         registry.registrationChanged(member, registration, modRevision);
+        // While all keys are read again, another incarnation may have been registered in between.
+        if (registration == null && formerIncarnation != null && replica.loaded()) {
+            formerOwners.leaseExpired(formerIncarnation);
+        }
     }
 
     /** Handles a change of the stored view; {@code stored} is null if the key was deleted. */
@@ -201,6 +216,7 @@
     }
 
     private void installView(ClusterView view, long modRevision) {
+        formerOwners.viewReplaced(currentView.view(), view, loop.now());
         currentView.replace(view, modRevision);
         ownerCache.clear();
         unreachableMembers.reset(loop.now());
