Transactions with optional parts keep to the store's limit of bytes

Cause: the transaction that ends a job took along the headers of all jobs that waited for nothing else, up to the limit of operations; nothing counted its bytes. The state service refused it, the keys were locked for 20 s, and the same transaction was built again.

Change: optional parts are added while operations, conditions and bytes allow (TransactionLimits): released and cancelled dependents, deleted task ranges, comparisons, machine batches. What is left goes with the next transaction. If the store refuses one all the same, the next is built at most half as large; one whose value is too large still waits for the compact form. A header may take half of a transaction, so that the other values of a claim fit beside it; that changes nothing for values of up to 16 KiB. Statuses of machines are measured in bytes, not in characters.

--- a/src/main/java/org/havenford/controller/Controller.java
+++ b/src/main/java/org/havenford/controller/Controller.java
@@ -35,6 +35,7 @@
 import org.havenford.storage.StoreClient;
 import org.havenford.storage.StoreLimits;
 import org.havenford.storage.StoreReplica;
+import org.havenford.storage.TransactionLimits;
 import org.havenford.storage.records.Keys;
 import org.havenford.transport.EventLoop;
 import org.havenford.transport.HttpCalls;
@@ -137,12 +138,14 @@
     }
 
     private CoordinationContext createCoordinationContext() {
-        ConditionalWriter writer =
-                new ConditionalWriter(loop, store, replica, settings.valueBytes(), roundTimer::requestRound);
+        TransactionLimits transactionLimits =
+                new TransactionLimits(settings.maxTransactionOperations(), settings.valueBytes());
+        ConditionalWriter writer = new ConditionalWriter(
+                loop, store, replica, settings.valueBytes(), transactionLimits, roundTimer::requestRound);
         return new CoordinationContext(
                 loop,
                 settings,
-                new StoreAccess(store, replica, clusterState, writer),
+                new StoreAccess(store, replica, clusterState, transactionLimits, writer),
                 membership,
                 new FinalStateCache(loop, store, roundTimer::requestRound),
                 new PipelineMetrics());
--- a/src/main/java/org/havenford/coordination/jobs/CoordinationContext.java
+++ b/src/main/java/org/havenford/coordination/jobs/CoordinationContext.java
@@ -7,6 +7,7 @@
 import org.havenford.storage.ConditionalWriter;
 import org.havenford.storage.StoreClient;
 import org.havenford.storage.StoreReplica;
+import org.havenford.storage.TransactionLimits;
 import org.havenford.storage.records.Job;
 import org.havenford.storage.records.TaskRange;
 import org.havenford.transport.EventLoop;
@@ -19,9 +20,6 @@
         Membership membership,
         FinalStateCache finalStates,
         PipelineMetrics pipelineMetrics) {
-    /** Conditions that the store accepts in a transaction, per operation that it accepts. */
-    private static final int CONDITIONS_PER_OPERATION = 4;
-
     /** Returns the typed view of the replica. */
     public ClusterState clusterState() {
         return storeAccess.clusterState();
@@ -52,9 +50,9 @@
         return replica().modRevision(key);
     }
 
-    /** Returns the maximum number of conditions in one transaction. */
-    int maxConditions() {
-        return settings.maxTransactionOperations() * CONDITIONS_PER_OPERATION;
+    /** Returns the limits on the size of a transaction. */
+    public TransactionLimits transactionLimits() {
+        return storeAccess.transactionLimits();
     }
 
     /** Returns whether this controller is the one member of the current view that is responsible for a job. */
--- a/src/main/java/org/havenford/coordination/jobs/DependencyVerifier.java
+++ b/src/main/java/org/havenford/coordination/jobs/DependencyVerifier.java
@@ -15,9 +15,6 @@
 
 /** Verifies that every dependency of a submission is an accepted job. */
 final class DependencyVerifier {
-    /** One condition on the header key of a job and one on its final-state key. */
-    private static final int CONDITIONS_PER_JOB = 2;
-
     /** Result of a verification. */
     sealed interface Verification {
         /** Every dependency is an accepted job, which may have ended since. */
@@ -68,10 +65,15 @@
             readFinalStates(spec, callback);
             return;
         }
-        List<String> batch = firstJobs(unknown, context.maxConditions() / CONDITIONS_PER_JOB);
+        List<String> batch = new ArrayList<>();
         Transaction transaction = new Transaction();
-        for (String jobId : batch) {
-            transaction.requireRevision(Keys.job(jobId), 0).requireRevision(Keys.finalState(jobId), 0);
+        for (String jobId : unknown) {
+            Transaction absence =
+                    new Transaction().requireRevision(Keys.job(jobId), 0).requireRevision(Keys.finalState(jobId), 0);
+            if (!transaction.addIfAllowed(absence, context.transactionLimits())) {
+                break;
+            }
+            batch.add(jobId);
         }
         context.store().commit(transaction, CallPriority.USER, result -> {
             if (result.ok()) {
@@ -88,10 +90,6 @@
         });
     }
 
-    private static List<String> firstJobs(ArrayDeque<String> jobIds, int count) {
-        return jobIds.stream().limit(count).toList();
-    }
-
     private static Set<String> existingJobs(StoreResult result, List<String> batch) {
         Set<String> existingJobs = new HashSet<>();
         if (result.outcome() != StoreOutcome.CONFLICT) {
--- a/src/main/java/org/havenford/coordination/jobs/JobCompletion.java
+++ b/src/main/java/org/havenford/coordination/jobs/JobCompletion.java
@@ -75,12 +75,15 @@
     private void commitCompletionStep(Job job, FinalState.Status status) {
         boolean done = status == FinalState.Status.DONE;
         List<Integer> storedIndexes = storedTaskRanges(job);
-        int maxTaskRanges = context.settings().maxTransactionOperations() - OPERATIONS_PER_COMPLETION;
+        int maxTaskRanges = context.transactionLimits().maxOperations() - OPERATIONS_PER_COMPLETION;
         boolean fitsOneTransaction = storedIndexes.size() <= Math.min(MAX_TASK_RANGES_AT_ONCE, maxTaskRanges);
         String headerKey = Keys.job(job.id());
         Transaction transaction = new Transaction().requireRevision(headerKey, context.modRevision(headerKey));
         if (fitsOneTransaction || !done) {
-            storedIndexes.stream().limit(maxTaskRanges).forEach(index -> deleteTaskRange(job, index, transaction));
+            storedIndexes.stream()
+                    .limit(maxTaskRanges)
+                    .forEach(index ->
+                            transaction.addIfAllowed(taskRangeDeletion(job, index), context.transactionLimits()));
         }
         List<String> locks = new ArrayList<>(List.of(headerKey));
         if (fitsOneTransaction || done) {
@@ -102,8 +105,8 @@
 
     /**
      * Adds the completion of a job to a transaction that is conditional on its header. Jobs that wait for no other
-     * dependency are released by the same transaction, up to its limit of operations, so that they need not wait until
-     * their responsible member has read the final state.
+     * dependency are released by the same transaction as far as its limits allow, so that they need not wait until their
+     * responsible member has read the final state.
      *
      * @param locks receives the header keys of the released jobs, to be locked with the transaction
      * @return an action to run once the transaction is committed
@@ -126,12 +129,14 @@
     private void releaseDependents(
             String endedJobId, Set<String> dependents, Instant now, Transaction transaction, List<String> locks) {
         for (String dependentId : dependents) {
-            if (transaction.operationCount() < context.settings().maxTransactionOperations()
-                    && waitsOnlyFor(dependentId, endedJobId)) {
+            if (waitsOnlyFor(dependentId, endedJobId)) {
                 String key = Keys.job(dependentId);
-                transaction
+                Transaction release = new Transaction()
                         .requireRevision(key, context.modRevision(key))
                         .put(key, context.clusterState().job(dependentId).releasedHeader(now));
+                if (!transaction.addIfAllowed(release, context.transactionLimits())) {
+                    return;
+                }
                 locks.add(key);
             }
         }
@@ -166,9 +171,9 @@
         return storedIndexes;
     }
 
-    private void deleteTaskRange(Job job, int index, Transaction transaction) {
+    private Transaction taskRangeDeletion(Job job, int index) {
         String key = Keys.tasks(job.id(), index);
-        transaction.requireRevision(key, context.modRevision(key)).delete(key);
+        return new Transaction().requireRevision(key, context.modRevision(key)).delete(key);
     }
 
     /** Deletes task ranges whose job has ended. Only the provisioning leader does this, for all controllers. */
@@ -180,11 +185,14 @@
             return;
         }
         Transaction transaction = new Transaction();
+        int maxDeletions = context.transactionLimits().maxOperations() - OPERATIONS_PER_COMPLETION;
         for (String path : context.clusterState().taskRangesWithoutJob()) {
-            if (transaction.operationCount()
-                    < context.settings().maxTransactionOperations() - OPERATIONS_PER_COMPLETION) {
-                String headerKey = Keys.job(path.substring(0, path.indexOf('/')));
-                transaction.requireRevision(headerKey, 0).delete(Keys.TASKS + path);
+            String headerKey = Keys.job(path.substring(0, path.indexOf('/')));
+            Transaction deletion =
+                    new Transaction().requireRevision(headerKey, 0).delete(Keys.TASKS + path);
+            if (transaction.operationCount() >= maxDeletions
+                    || !transaction.addIfAllowed(deletion, context.transactionLimits())) {
+                break;
             }
         }
         context.writer().commit(transaction, CallPriority.WORK, List.of(DELETION_LOCK), () -> {});
--- a/src/main/java/org/havenford/coordination/jobs/JobDependencies.java
+++ b/src/main/java/org/havenford/coordination/jobs/JobDependencies.java
@@ -1,6 +1,5 @@
 package org.havenford.coordination.jobs;
 
-import com.google.common.collect.Lists;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -26,8 +25,6 @@
      * Concurrent transactions that cancel dependents; the limit keeps a wide cascade from delaying claims in the queue.
      */
     private static final int MAX_PENDING_CANCELLATIONS = 2;
-    /** The cancellation of a dependent puts its final state and deletes its header. */
-    private static final int OPERATIONS_PER_CANCELLATION = 2;
 
     /** Status of a job's dependencies, in ascending order of precedence: the combined status is the highest of all. */
     enum DependencyStatus {
@@ -125,7 +122,7 @@
 
     /** Releases or cancels the waiting jobs that this controller is responsible for. */
     public void step() {
-        List<Job> toCancel = new ArrayList<>();
+        ArrayDeque<Job> toCancel = new ArrayDeque<>();
         for (String jobId : List.copyOf(context.clusterState().jobsAwaitingDependencies())) {
             Job job = context.clusterState().job(jobId);
             if (job.cancelled()) {
@@ -143,12 +140,8 @@
                 release(job);
             }
         }
-        int jobsPerTransaction =
-                Math.max(1, context.settings().maxTransactionOperations() / OPERATIONS_PER_CANCELLATION);
-        for (List<Job> jobs : Lists.partition(toCancel, jobsPerTransaction)) {
-            if (pendingCancellations < MAX_PENDING_CANCELLATIONS) {
-                cancelDependents(jobs);
-            }
+        while (!toCancel.isEmpty() && pendingCancellations < MAX_PENDING_CANCELLATIONS) {
+            cancelDependents(toCancel);
         }
     }
 
@@ -165,24 +158,29 @@
     }
 
     /**
-     * Ends jobs with a cancelled dependency. They were never released, so they have no claims, and the conditions on
-     * their headers make the transaction fail if that has changed.
+     * Ends as many jobs with a cancelled dependency as one transaction allows, and removes them from the queue. They were
+     * never released, so they have no claims, and the conditions on their headers make the transaction fail if that has
+     * changed.
      */
-    private void cancelDependents(List<Job> jobs) {
-        Transaction transaction = new Transaction();
-        List<String> keys = new ArrayList<>();
-        for (Job job : jobs) {
-            String key = Keys.job(job.id());
-            FinalState state =
-                    FinalState.of(FinalState.Status.CANCELLED, job.spec().taskCount());
-            keys.add(key);
-            transaction
-                    .requireRevision(key, context.modRevision(key))
-                    .put(Keys.finalState(job.id()), state.toJson())
-                    .delete(key);
+    private void cancelDependents(ArrayDeque<Job> toCancel) {
+        Job first = toCancel.poll();
+        Transaction transaction = cancellation(first);
+        List<String> keys = new ArrayList<>(List.of(Keys.job(first.id())));
+        while (!toCancel.isEmpty()
+                && transaction.addIfAllowed(cancellation(toCancel.peek()), context.transactionLimits())) {
+            keys.add(Keys.job(toCancel.poll().id()));
         }
         LOG.info("cancelled with a dependency: jobs={}", keys);
         pendingCancellations++;
         context.writer().commit(transaction, CallPriority.CLAIM, keys, () -> {}, result -> pendingCancellations--);
     }
+
+    private Transaction cancellation(Job job) {
+        String key = Keys.job(job.id());
+        FinalState state = FinalState.of(FinalState.Status.CANCELLED, job.spec().taskCount());
+        return new Transaction()
+                .requireRevision(key, context.modRevision(key))
+                .put(Keys.finalState(job.id()), state.toJson())
+                .delete(key);
+    }
 }
--- a/src/main/java/org/havenford/coordination/jobs/JobQueries.java
+++ b/src/main/java/org/havenford/coordination/jobs/JobQueries.java
@@ -54,16 +54,14 @@
         if (comparisonPending || waitingQueries.isEmpty()) {
             return;
         }
-        Map<String, List<Consumer<Response>>> batch = nextBatch();
+        Transaction transaction = new Transaction();
+        Map<String, List<Consumer<Response>>> batch = takeNextBatch(transaction);
         if (batch.isEmpty()) {
             return;
         }
-        Transaction transaction = new Transaction();
         Map<String, Job> comparedJobs = new HashMap<>();
-        for (String jobId : batch.keySet()) {
-            transaction.requireRevision(Keys.job(jobId), context.modRevision(Keys.job(jobId)));
-            comparedJobs.put(jobId, context.clusterState().job(jobId));
-        }
+        batch.keySet()
+                .forEach(jobId -> comparedJobs.put(jobId, context.clusterState().job(jobId)));
         comparisonPending = true;
         context.store().commit(transaction, CallPriority.USER, result -> {
             comparisonPending = false;
@@ -89,20 +87,26 @@
     }
 
     /**
-     * Removes as many waiting queries as fit one comparison and returns them by job id. Jobs that have left the replica
-     * meanwhile are read from the store instead.
+     * Removes as many waiting queries as fit one comparison, adds the conditions on their jobs to it and returns them by
+     * job id. Jobs that have left the replica meanwhile are read from the store instead.
      */
-    private Map<String, List<Consumer<Response>>> nextBatch() {
+    private Map<String, List<Consumer<Response>>> takeNextBatch(Transaction comparison) {
         Map<String, List<Consumer<Response>>> batch = new LinkedHashMap<>();
         Iterator<Map.Entry<String, List<Consumer<Response>>>> entries =
                 waitingQueries.entrySet().iterator();
-        while (entries.hasNext() && batch.size() < context.maxConditions()) {
+        boolean full = false;
+        while (entries.hasNext() && !full) {
             Map.Entry<String, List<Consumer<Response>>> entry = entries.next();
-            entries.remove();
+            String key = Keys.job(entry.getKey());
             if (context.clusterState().job(entry.getKey()) == null) {
+                entries.remove();
                 entry.getValue().forEach(callback -> readFromStore(entry.getKey(), callback));
-            } else {
+            } else if (comparison.addIfAllowed(
+                    new Transaction().requireRevision(key, context.modRevision(key)), context.transactionLimits())) {
+                entries.remove();
                 batch.put(entry.getKey(), entry.getValue());
+            } else {
+                full = true;
             }
         }
         return batch;
--- a/src/main/java/org/havenford/coordination/jobs/JobSubmissions.java
+++ b/src/main/java/org/havenford/coordination/jobs/JobSubmissions.java
@@ -171,10 +171,11 @@
     }
 
     /**
-     * Returns whether the header exceeds the value limit, including the fields that a release and a cancellation add.
+     * Returns whether the header, including the fields that a release and a cancellation add, exceeds the value limit or
+     * leaves too little room for the other values of a claim.
      */
     private boolean exceedsValueLimit(Job job, Instant now) {
         int bytes = job.releasedHeader(now).toString().getBytes(StandardCharsets.UTF_8).length;
-        return bytes + CANCELLATION_BYTES > context.settings().valueBytes();
+        return bytes + CANCELLATION_BYTES > context.transactionLimits().maxValueBytes();
     }
 }
--- a/src/main/java/org/havenford/coordination/provisioning/ProvisioningContext.java
+++ b/src/main/java/org/havenford/coordination/provisioning/ProvisioningContext.java
@@ -8,8 +8,10 @@
 import org.havenford.settings.PlatformSettings;
 import org.havenford.storage.CallPriority;
 import org.havenford.storage.ClusterState;
+import org.havenford.storage.StoreOutcome;
 import org.havenford.storage.StoreReplica;
 import org.havenford.storage.Transaction;
+import org.havenford.storage.TransactionLimits;
 import org.havenford.storage.records.Keys;
 import org.havenford.storage.records.MachineRecord;
 import org.havenford.transport.EventLoop;
@@ -62,6 +64,10 @@
         return coordination.membership();
     }
 
+    TransactionLimits transactionLimits() {
+        return coordination.transactionLimits();
+    }
+
     /** Returns how long a machine has been in its current condition. */
     Duration timeInCondition(MachineRecord machine) {
         return Duration.between(machine.since(), loop().timeOfDay());
@@ -81,6 +87,9 @@
             if (result.ok()) {
                 replica().applyCommitted(transaction, result.revision());
             }
+            if (result.outcome() == StoreOutcome.REJECTED) {
+                transactionLimits().recordRejected(transaction);
+            }
             onResult.accept(result.ok());
             afterWrite.run();
         });
--- a/src/main/java/org/havenford/coordination/provisioning/ScaleIn.java
+++ b/src/main/java/org/havenford/coordination/provisioning/ScaleIn.java
@@ -80,8 +80,7 @@
     }
 
     private MachineBatchChange newChange() {
-        return new MachineBatchChange(
-                context.clusterState(), context.settings().maxTransactionOperations(), batchesInFlight::contains);
+        return new MachineBatchChange(context.clusterState(), context.transactionLimits(), batchesInFlight::contains);
     }
 
     private void write(MachineBatchChange change) {
--- a/src/main/java/org/havenford/coordination/provisioning/UnrecordedMachineAdoption.java
+++ b/src/main/java/org/havenford/coordination/provisioning/UnrecordedMachineAdoption.java
@@ -51,17 +51,14 @@
             }
         }
         Transaction transaction = new Transaction();
-        unrecorded.forEach((offer, machines) -> {
-            if (transaction.operationCount() < context.settings().maxTransactionOperations()) {
-                addBatch(offer, machines, transaction);
-            }
-        });
+        unrecorded.forEach(
+                (offer, machines) -> transaction.addIfAllowed(newBatch(offer, machines), context.transactionLimits()));
         if (transaction.operationCount() > 0) {
             context.write(transaction, ok -> {});
         }
     }
 
-    private void addBatch(InstanceOffer offer, List<ListedMachine> machines, Transaction transaction) {
+    private Transaction newBatch(InstanceOffer offer, List<ListedMachine> machines) {
         String name = context.uniqueName(BATCH_NAME_PREFIX);
         Instant since = context.loop().timeOfDay().minus(machines.get(0).age());
         List<String> names = machines.stream()
@@ -70,6 +67,6 @@
                 .toList();
         MachineBatch batch = MachineBatch.of(
                 name, offer.kind().type(), offer.zone(), offer.kind().spot(), since, names);
-        transaction.requireRevision(Keys.batch(name), 0).put(Keys.batch(name), batch.toJson());
+        return new Transaction().requireRevision(Keys.batch(name), 0).put(Keys.batch(name), batch.toJson());
     }
 }
--- a/src/main/java/org/havenford/coordination/scheduling/ClaimBuilder.java
+++ b/src/main/java/org/havenford/coordination/scheduling/ClaimBuilder.java
@@ -17,8 +17,6 @@
 
 /** Builds the transaction that claims planned tasks of one task range. */
 final class ClaimBuilder {
-    /** The store accepts this many conditions in a transaction for each operation that it accepts. */
-    private static final int CONDITIONS_PER_OPERATION = 4;
     /** Conditions kept free for the view, the job, its task range and the team's quota, with a margin. */
     private static final int OTHER_CONDITIONS = 6;
 
@@ -110,7 +108,7 @@
 
     private void addClaims(ClaimDraft draft, List<Placement> placements, String quotaHolder) {
         Set<String> batches = new HashSet<>();
-        int maxBatches = context.settings().maxTransactionOperations() * CONDITIONS_PER_OPERATION - OTHER_CONDITIONS;
+        int maxBatches = context.transactionLimits().maxConditions() - OTHER_CONDITIONS;
         for (Placement placement : placements) {
             String machine = placement.machine();
             AgentState agent = agentManager.agent(machine);
--- a/src/main/java/org/havenford/storage/ConditionalWriter.java
+++ b/src/main/java/org/havenford/storage/ConditionalWriter.java
@@ -25,8 +25,8 @@
     /** Delay until keys are unlocked after a transaction that was not executed, or whose outcome is unknown. */
     private static final Duration UNLOCK_DELAY = Duration.ofMillis(250);
     /**
-     * Delay until keys are unlocked after the store rejected a transaction as malformed or too large. A repetition
-     * would be rejected as well, so other work goes first.
+     * Delay until keys are unlocked after the store rejected a transaction and the next one cannot be smaller. A
+     * repetition would be rejected as well, so other work goes first.
      */
     private static final Duration REJECTED_UNLOCK_DELAY = Duration.ofSeconds(20);
     /** Longest time for which keys stay locked while the replica has not reached the revision of a conflict. */
@@ -39,6 +39,7 @@
     private final StoreClient store;
     private final StoreReplica replica;
     private final int nextValueBytes;
+    private final TransactionLimits transactionLimits;
     private final Runnable requestRound;
     private final Set<String> lockedKeys = new HashSet<>();
     private final List<ReplicaLock> replicaLocks = new ArrayList<>();
@@ -48,14 +49,21 @@
      * Creates a writer that works with one replica.
      *
      * @param nextValueBytes the announced future limit of the size of a value, in bytes
+     * @param transactionLimits the limits to lower when the store rejects a transaction
      * @param requestRound called to request another round when keys have been unlocked
      */
     public ConditionalWriter(
-            EventLoop loop, StoreClient store, StoreReplica replica, int nextValueBytes, Runnable requestRound) {
+            EventLoop loop,
+            StoreClient store,
+            StoreReplica replica,
+            int nextValueBytes,
+            TransactionLimits transactionLimits,
+            Runnable requestRound) {
         this.loop = loop;
         this.store = store;
         this.replica = replica;
         this.nextValueBytes = nextValueBytes;
+        this.transactionLimits = transactionLimits;
         this.requestRound = requestRound;
     }
 
@@ -123,9 +131,12 @@
             case CONFLICT -> lockUntilCaughtUp(result, keys);
             case STALE -> unlock(keys);
             case REJECTED -> {
-                boolean compactFormMayFit = !limitsLowered && largestValueBytes(transaction) > nextValueBytes;
+                boolean valueTooLarge = largestValueBytes(transaction) > nextValueBytes;
+                boolean compactFormMayFit = !limitsLowered && valueTooLarge;
                 limitsLowered |= compactFormMayFit;
-                loop.after(compactFormMayFit ? UNLOCK_DELAY : REJECTED_UNLOCK_DELAY, () -> unlock(keys));
+                boolean nextIsSmaller =
+                        compactFormMayFit || (!valueTooLarge && transactionLimits.recordRejected(transaction));
+                loop.after(nextIsSmaller ? UNLOCK_DELAY : REJECTED_UNLOCK_DELAY, () -> unlock(keys));
             }
             default -> loop.after(UNLOCK_DELAY, () -> unlock(keys));
         }
--- a/src/main/java/org/havenford/storage/StoreWireCodec.java
+++ b/src/main/java/org/havenford/storage/StoreWireCodec.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import org.havenford.protocol.Json;
@@ -34,6 +35,12 @@
     private static final String MORE_PAGES = "truncated";
     private static final String EVENTS = "log";
 
+    /** Size of the body of a request for a transaction without conditions and operations. */
+    static final int EMPTY_TRANSACTION_BYTES =
+            transactionBody(new Transaction()).length();
+
+    private static final int SEPARATOR_BYTES = 1;
+
     private StoreWireCodec() {}
 
     /** Returns the path of one key. */
@@ -78,6 +85,20 @@
         return body.toString();
     }
 
+    /** Returns the number of bytes by which a condition makes the body of a request longer. */
+    static int encodedBytes(Transaction.Condition condition) {
+        return length(conditionJson(condition)) + SEPARATOR_BYTES;
+    }
+
+    /** Returns the number of bytes by which an operation makes the body of a request longer. */
+    static int encodedBytes(Transaction.Operation operation) {
+        return length(operationJson(operation)) + SEPARATOR_BYTES;
+    }
+
+    private static int length(JsonObject json) {
+        return json.toString().getBytes(StandardCharsets.UTF_8).length;
+    }
+
     private static JsonObject conditionJson(Transaction.Condition condition) {
         JsonObject json = new JsonObject();
         json.addProperty(KEY, condition.key());
--- a/src/main/java/org/havenford/storage/Transaction.java
+++ b/src/main/java/org/havenford/storage/Transaction.java
@@ -39,6 +39,11 @@
     private final List<Condition> conditions = new ArrayList<>();
     private final List<Operation> operations = new ArrayList<>();
     private final List<String> changedKeys = new ArrayList<>();
+    /** Size of the first {@link #measuredConditions} conditions and {@link #measuredOperations} operations. */
+    private int measuredBytes;
+
+    private int measuredConditions;
+    private int measuredOperations;
 
     /** Adds the condition that the key has this mod revision; 0 means that the key does not exist. */
     public Transaction requireRevision(String key, long modRevision) {
@@ -61,6 +66,28 @@
         return add(new Delete(key));
     }
 
+    /**
+     * Adds the conditions and operations of {@code part} if the transaction then keeps to the limits.
+     *
+     * @return whether they were added
+     */
+    public boolean addIfAllowed(Transaction part, TransactionLimits limits) {
+        boolean allowed = operationCount() + part.operationCount() <= limits.maxOperations()
+                && conditionCount() + part.conditionCount() <= limits.maxConditions()
+                && encodedBytes() + part.encodedBytes() <= limits.maxBytes();
+        if (allowed) {
+            addAll(part);
+        }
+        return allowed;
+    }
+
+    /** Adds the conditions and operations of {@code part}. */
+    public Transaction addAll(Transaction part) {
+        conditions.addAll(part.conditions);
+        part.operations.forEach(this::add);
+        return this;
+    }
+
     private Transaction add(Operation operation) {
         operations.add(operation);
         changedKeys.add(operation.key());
@@ -87,6 +114,17 @@
         return conditions.size();
     }
 
+    /** Returns the size of the request that commits this transaction, in bytes. */
+    public int encodedBytes() {
+        for (; measuredConditions < conditions.size(); measuredConditions++) {
+            measuredBytes += StoreWireCodec.encodedBytes(conditions.get(measuredConditions));
+        }
+        for (; measuredOperations < operations.size(); measuredOperations++) {
+            measuredBytes += StoreWireCodec.encodedBytes(operations.get(measuredOperations));
+        }
+        return StoreWireCodec.EMPTY_TRANSACTION_BYTES + measuredBytes;
+    }
+
     /** Returns the number of operations. */
     public int operationCount() {
         return operations.size();
--- a/src/main/java/org/havenford/storage/records/MachineBatch.java
+++ b/src/main/java/org/havenford/storage/records/MachineBatch.java
@@ -27,6 +27,9 @@
     private static final String SINCE = "at";
     private static final String MACHINES = "m";
 
+    /** Length of the longest name of a service state. */
+    public static final int MAX_SERVICE_STATE_BYTES = 10;
+
     /** Maximum number of machines in one batch. */
     public static final int MAX_MACHINES = 50;
 
--- a/src/main/java/org/havenford/storage/records/MachineStatuses.java
+++ b/src/main/java/org/havenford/storage/records/MachineStatuses.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,7 +43,7 @@
     public JsonObject toJson(int valueBytes) {
         for (int images = MAX_IMAGES; images > 0; images--) {
             JsonObject json = toJsonWith(images);
-            if (json.toString().length() <= valueBytes) {
+            if (json.toString().getBytes(StandardCharsets.UTF_8).length <= valueBytes) {
                 return json;
             }
         }
