The membership lease fits wherever cancel_s leaves room for it, or a warning says so

Cause: the owner in the cut zone answers its agents for one membership lease, and they run on for their own. The lease was shortened so that both fit into cancel_s only where more than 2 s remained beside a margin of 6 s; else it stayed at 8 s, without a word.

Change: MembershipLeaseDuration: the margin gives way to one second before the lease falls below 3 s, and then the lease, down to 2 s. Where cancel_s exceeds lease_s by less than 3 s, equals it or is smaller, no lease keeps the bound: one warning at the start names what would, and the service runs with the usual lease. Confirmations wait for nothing. New owners count with the length in the operators' settings, as controllers of earlier versions do not shorten theirs.

Why this works: by the proof in docs/design.md nothing of the job is on a machine after one membership lease, one agent's lease and its drift; at least one second remains for the agent to notice. Sites with 14 s and more between the two settings keep 8 s.

--- a/src/main/java/org/havenford/controller/Controller.java
+++ b/src/main/java/org/havenford/controller/Controller.java
@@ -48,10 +48,6 @@
 /** Wires the components of one controller together and dispatches events to them. Everything runs on the event loop. */
 public final class Controller implements HttpServer.Handler {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
-    /** Allowance for delivering a cancellation to an agent and for clock skew. */
-    private static final Duration CANCELLATION_MARGIN = Duration.ofSeconds(6);
-    /** The limit on the membership lease applies only if it is longer than this. */
-    private static final Duration MIN_LEASE_LIMIT = Duration.ofSeconds(2);
 
     private final PlatformSettings settings;
     private final OperatorSettings operatorSettings;
@@ -128,7 +124,10 @@
                 store,
                 replica,
                 new MembershipSettings(
-                        settings.node(), allNodes(settings), membershipLease(settings, operatorSettings)),
+                        settings.node(),
+                        allNodes(settings),
+                        MembershipLeaseDuration.choose(settings, operatorSettings),
+                        operatorSettings.membershipLease()),
                 new ControllerMembershipListener());
     }
 
@@ -161,18 +160,6 @@
         return new ControllerStatistics(loop, scheduler, agentManager, clusterState, sections);
     }
 
-    /**
-     * Returns the duration of the membership lease: the operator setting, limited so that a cancelled task stops within
-     * the cancellation limit even if the owner of its machine is cut off from the store. Such an owner may renew the
-     * agent's lease until its own membership lease ends, so both leases and a margin must fit within that limit.
-     */
-    private static Duration membershipLease(PlatformSettings settings, OperatorSettings operatorSettings) {
-        Duration maxLease =
-                settings.cancellationLimit().minus(settings.agentLease()).minus(CANCELLATION_MARGIN);
-        Duration lease = operatorSettings.membershipLease();
-        return lease.compareTo(maxLease) > 0 && maxLease.compareTo(MIN_LEASE_LIMIT) > 0 ? maxLease : lease;
-    }
-
     private static Set<String> allNodes(PlatformSettings settings) {
         Set<String> names = new TreeSet<>(Set.of(settings.node()));
         settings.peers().forEach(peer -> names.add(peer.node()));
--- a/src/main/java/org/havenford/coordination/membership/Membership.java
+++ b/src/main/java/org/havenford/coordination/membership/Membership.java
@@ -51,7 +51,7 @@
         this.node = settings.node();
         this.leaseDuration = settings.leaseDuration();
         this.listener = listener;
-        formerOwners = new FormerOwners(node, leaseDuration);
+        formerOwners = new FormerOwners(node, settings.longestLeaseDuration());
         registry = new MemberRegistry(settings.configuredNodes());
         verification = new ViewVerification(loop, store, replica, currentView);
         lease = new MembershipLease(loop, store, replica, verification, settings);
--- a/src/test/java/org/havenford/golden/GoldenCalls.java
+++ b/src/test/java/org/havenford/golden/GoldenCalls.java
@@ -65,7 +65,8 @@
         ClusterState clusterState = new ClusterState();
         clusterState.setObserver(new NoOpObserver());
         replica = new StoreReplica(loop, store, Keys.REPLICATED, clusterState);
-        MembershipSettings settings = new MembershipSettings("node-0", configured, Duration.ofSeconds(5));
+        MembershipSettings settings =
+                new MembershipSettings("node-0", configured, Duration.ofSeconds(5), Duration.ofSeconds(5));
         return new Membership(loop, store, replica, settings, new MembershipListener() {
             @Override
             public void viewChanged() {}
--- a/src/test/java/org/havenford/simulator/LoopbackApiTest.java
+++ b/src/test/java/org/havenford/simulator/LoopbackApiTest.java
@@ -212,6 +212,27 @@
         }
     }
 
+    /** Guards against a cancellation limit that no membership lease keeps, and that nothing says so. */
+    @Test
+    @Timeout(120)
+    void aCancellationLimitBelowTheAgentLeaseIsNamedOnceAtTheStartAndServed() throws Exception {
+        String agents = "{\"report_s\":3,\"lease_s\":26,\"cancel_s\":20}";
+        try (LoopbackCluster loopback = new LoopbackCluster(directory, 1, TEAM, agents, NO_STANDBY)) {
+            awaitHealthy(loopback);
+            submitInOnePacket(loopback, "j-1");
+            String line =
+                    "cancelled tasks may outlive the cancellation limit on machines that are cut off, as no membership"
+                            + " lease is short enough: cancelS=20.0 agentLeaseS=26.0 requiredCancelS=29.026 membershipLeaseS=8.0";
+            assertEquals(
+                    1,
+                    log(loopback)
+                            .lines()
+                            .filter(logged -> logged.contains(line))
+                            .count(),
+                    log(loopback));
+        }
+    }
+
     private static String log(LoopbackCluster loopback) {
         try {
             return loopback.controllers.get(NODE).log();
--- a/src/test/java/org/havenford/simulator/LoopbackCluster.java
+++ b/src/test/java/org/havenford/simulator/LoopbackCluster.java
@@ -70,6 +70,12 @@
     /** Starts the controllers in zones a, b and c, all with the same operator settings. */
     LoopbackCluster(Path directory, int nodes, String teams, String operatorXml)
             throws IOException, MalformedMessageException {
+        this(directory, nodes, teams, SimulatorSettings.DEFAULT_AGENTS, operatorXml);
+    }
+
+    /** Starts the controllers with the given intervals and limits of agents, as a JSON object. */
+    LoopbackCluster(Path directory, int nodes, String teams, String agents, String operatorXml)
+            throws IOException, MalformedMessageException {
         SimulatorSettings.Addresses addresses = new SimulatorSettings.Addresses(
                 freeAddresses(nodes),
                 freeAddresses(nodes),
@@ -77,7 +83,7 @@
                 freeAddresses(1).get(0));
         List<String> settings = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
-            settings.add(SimulatorSettings.json(i, addresses, teams, SimulatorSettings.DEFAULT_AGENTS, STORE));
+            settings.add(SimulatorSettings.json(i, addresses, teams, agents, STORE));
         }
         simulator = new ClusterSimulator(1, PlatformSettings.parse(settings.get(0)));
         simulator.agentAddress = this::endpointOf;
--- a/src/test/java/org/havenford/simulator/TracePlayer.java
+++ b/src/test/java/org/havenford/simulator/TracePlayer.java
@@ -48,7 +48,7 @@
     }
 
     private static PlatformSettings settings(TraceScenario scenario, int node, String store) {
-        return SimulatorSettings.of(node, scenario.nodes(), scenario.teams(), SimulatorSettings.DEFAULT_AGENTS, store);
+        return SimulatorSettings.of(node, scenario.nodes(), scenario.teams(), scenario.agents(), store);
     }
 
     private static void scheduleSteps(TraceScenario scenario, ClusterSimulator simulator) {
--- a/src/test/java/org/havenford/simulator/TraceScenario.java
+++ b/src/test/java/org/havenford/simulator/TraceScenario.java
@@ -34,6 +34,7 @@
     private double end = 120;
     private boolean previousFormat;
     private String store = SimulatorSettings.DEFAULT_STORE;
+    private String agents = SimulatorSettings.DEFAULT_AGENTS;
     private final List<Step> steps = new ArrayList<>();
     private final List<Expectation> expectations = new ArrayList<>();
 
@@ -77,6 +78,7 @@
     private static Map<String, BiConsumer<TraceScenario, TraceArguments>> lineParsers() {
         Map<String, BiConsumer<TraceScenario, TraceArguments>> parsers = new HashMap<>();
         parsers.put("next", TraceScenario::announceLowerLimits);
+        parsers.put("agents", TraceScenario::setAgentLimits);
         parsers.put("standby", (scenario, args) -> scenario.standby = args.isOn(0));
         parsers.put("standby-off", (scenario, args) -> scenario.withoutStandby.add(args.word(0)));
         parsers.put(
@@ -101,6 +103,11 @@
         store = SimulatorSettings.DEFAULT_STORE.replace("}", next);
     }
 
+    private void setAgentLimits(TraceArguments args) {
+        agents = String.format(
+                "{\"report_s\":%s,\"lease_s\":%s,\"cancel_s\":%s}", args.word(0), args.word(1), args.word(2));
+    }
+
     private void addTeam(TraceArguments args) {
         teams.add(String.format(
                 "{\"name\":\"%s\",\"cpus\":%s,\"cpus_max\":%s}", args.word(0), args.word(1), args.word(2)));
@@ -138,6 +145,11 @@
         return store;
     }
 
+    /** Returns the intervals and limits that apply to agents as a JSON object. */
+    String agents() {
+        return agents;
+    }
+
     /** Returns whether the controllers start with the previous version, which writes storage format 1. */
     boolean startsWithPreviousFormat() {
         return previousFormat;
