Test that copies of start commands start no task that was moved or cancelled

Need: a start command that was carried out and answered may reach a machine once more, after the task was moved or cancelled and a machine or a controller was back within a second.

--- a/src/test/java/org/havenford/simulator/NetworkFaults.java
+++ b/src/test/java/org/havenford/simulator/NetworkFaults.java
@@ -45,6 +45,8 @@
     int extraLatencyMillis;
     /** Machines whose heartbeats arrive a second time, and the delay of that duplicate. */
     final Map<String, Duration> duplicatedHeartbeats = new HashMap<>();
+    /** Machines to which direct commands are delivered a second time, and the delay of that duplicate. */
+    final Map<String, Duration> duplicatedCommands = new HashMap<>();
     /** Controllers whose POST requests are executed a second time, and the delay of that duplicate. */
     final Map<String, Duration> duplicatedPosts = new HashMap<>();
     /** Delay of the slow calls of a controller to the state service. */
--- a/src/test/java/org/havenford/simulator/SimulatedAgent.java
+++ b/src/test/java/org/havenford/simulator/SimulatedAgent.java
@@ -194,6 +194,21 @@
         startIncarnation("back after a moment");
     }
 
+    /** Reboots the machine; the agent has also lost the highest fencing token and the sequence of its heartbeats. */
+    void rebootWithoutMemory() {
+        fencingToken = 0;
+        heartbeatSequence = 0;
+        startIncarnation("back after a moment, with nothing kept");
+    }
+
+    /** Restarts the agent within its incarnation; it has lost its tasks and the highest fencing token. */
+    void restartWithinIncarnation() {
+        fencingToken = 0;
+        tasks.clear();
+        heartbeatDue = true;
+        simulator.invariants.machineChanged();
+    }
+
     private void startIncarnation(String reason) {
         tasks.clear();
         incarnation++;
--- a/src/test/java/org/havenford/simulator/SimulatedNetwork.java
+++ b/src/test/java/org/havenford/simulator/SimulatedNetwork.java
@@ -126,6 +126,9 @@
             if (request.isHeartbeat()) {
                 return faults.duplicatedHeartbeats.get(from);
             }
+            if (request.isDirectCommand() && faults.duplicatedCommands.containsKey(to)) {
+                return faults.duplicatedCommands.get(to);
+            }
             return request.method.equals("POST") ? faults.duplicatedPosts.get(from) : null;
         }
 
--- a/src/test/java/org/havenford/simulator/TraceCommands.java
+++ b/src/test/java/org/havenford/simulator/TraceCommands.java
@@ -137,6 +137,10 @@
         commands.put(
                 "no-copies",
                 (simulator, args) -> simulator.network.faults.duplicatedHeartbeats.remove(address(simulator, args, 0)));
+        commands.put(
+                "copied-commands",
+                (simulator, args) ->
+                        simulator.network.faults.duplicatedCommands.put(address(simulator, args, 0), args.seconds(1)));
         commands.put("mute", (simulator, args) -> simulator.network.faults.mute.add(address(simulator, args, 0)));
         commands.put("speaks", (simulator, args) -> simulator.network.faults.mute.remove(address(simulator, args, 0)));
         commands.put("deaf", (simulator, args) -> simulator.network.faults.deaf.add(address(simulator, args, 0)));
@@ -194,6 +198,9 @@
 
     private static void addAgentCommands(Map<String, Command> commands) {
         commands.put("reboot", (simulator, args) -> agent(simulator, args).reboot());
+        commands.put("reboot-blank", (simulator, args) -> agent(simulator, args).rebootWithoutMemory());
+        commands.put("restart-same-session", (simulator, args) -> agent(simulator, args)
+                .restartWithinIncarnation());
         commands.put("hang", (simulator, args) -> agent(simulator, args).hang(true));
         commands.put("wake", (simulator, args) -> agent(simulator, args).hang(false));
         commands.put("faulty", (simulator, args) -> agent(simulator, args).faulty = true);
