Tests of drawn runs share one way of playing seeds

Need: four test classes each held the same stream of seeds and the same assertion.

Change: RandomizedScenarios.play without digests, and assertNoViolations; seeds, numbers of runs and checks as before.

--- a/src/test/java/org/havenford/simulator/LargeTransactionTest.java
+++ b/src/test/java/org/havenford/simulator/LargeTransactionTest.java
@@ -1,7 +1,5 @@
 package org.havenford.simulator;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -39,11 +37,6 @@
         return lines;
     }
 
-    private static void assertNoViolations(List<String> lines) {
-        TracePlayer.Result result = TracePlayer.play(lines);
-        assertEquals(List.of(), result.violations(), result::log);
-    }
-
     /** Guards against the end of a job that takes along more bytes of released headers than a transaction may have. */
     @Test
     void aJobThatManyWideJobsAwaitIsDoneInTime() {
@@ -53,7 +46,7 @@
         for (int i = 1; i <= 9; i++) {
             lines.add("expect done-by " + id(NAMED_JOBS + i) + " 60");
         }
-        assertNoViolations(lines);
+        RandomizedScenarios.assertNoViolations(lines);
     }
 
     @Test
@@ -64,6 +57,6 @@
         for (int i = 1; i <= 40; i++) {
             lines.add("expect taken-along " + id(NAMED_JOBS + i));
         }
-        assertNoViolations(lines);
+        RandomizedScenarios.assertNoViolations(lines);
     }
 }
--- a/src/test/java/org/havenford/simulator/LateMessagesTest.java
+++ b/src/test/java/org/havenford/simulator/LateMessagesTest.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongFunction;
-import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.Tag;
@@ -62,12 +61,6 @@
 
     private static Stream<DynamicTest> play(LongFunction<List<String>> scenario) {
         long first = Long.getLong("havenford.firstSeed", 1);
-        return LongStream.range(first, first + Integer.getInteger("havenford.lateSeeds", DEFAULT_SEEDS))
-                .mapToObj(seed -> DynamicTest.dynamicTest("seed " + seed, () -> {
-                    List<String> lines = scenario.apply(seed);
-                    TracePlayer.Result result = TracePlayer.play(lines);
-                    assertEquals(
-                            List.of(), result.violations(), () -> String.join("\n", lines) + "\n--\n" + result.log());
-                }));
+        return RandomizedScenarios.play(first, Long.getLong("havenford.lateSeeds", DEFAULT_SEEDS), scenario);
     }
 }
--- a/src/test/java/org/havenford/simulator/RandomizedScenarios.java
+++ b/src/test/java/org/havenford/simulator/RandomizedScenarios.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.function.LongFunction;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 
@@ -29,14 +30,22 @@
         return Stream.iterate(first, seed -> seed + 1)
                 .limit(seeds)
                 .map(seed -> DynamicTest.dynamicTest("seed " + seed, () -> {
-                    TracePlayer.Result result = playAndAssertNoViolations(scenario.apply(seed));
+                    TracePlayer.Result result = assertNoViolations(scenario.apply(seed));
                     if (seed >= 1 && seed <= defaultSeeds) {
                         result.simulator().behaviour.assertMatchesStored(kind + "/" + seed);
                     }
                 }));
     }
 
-    private static TracePlayer.Result playAndAssertNoViolations(List<String> lines) {
+    /** Returns a test for each of a number of consecutive seeds, whose runs are compared with no stored digest. */
+    static Stream<DynamicTest> play(long first, long seeds, LongFunction<List<String>> scenario) {
+        return LongStream.range(first, first + seeds)
+                .mapToObj(seed ->
+                        DynamicTest.dynamicTest("seed " + seed, () -> assertNoViolations(scenario.apply(seed))));
+    }
+
+    /** Plays a trace and asserts that it violates no invariant and no expectation. */
+    static TracePlayer.Result assertNoViolations(List<String> lines) {
         TracePlayer.Result result = TracePlayer.play(lines);
         assertEquals(List.of(), result.violations(), () -> String.join("\n", lines) + "\n--\n" + result.log());
         return result;
--- a/src/test/java/org/havenford/simulator/RepeatedRegistrationTest.java
+++ b/src/test/java/org/havenford/simulator/RepeatedRegistrationTest.java
@@ -1,9 +1,5 @@
 package org.havenford.simulator;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
-import java.util.List;
-import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
@@ -15,12 +11,7 @@
     /** Guards against a task on two machines when a repeated registration expires before the lease of the running incarnation. */
     @TestFactory
     Stream<DynamicTest> noTaskRunsTwiceWhenARepeatedRegistrationExpires() {
-        return LongStream.rangeClosed(1, Long.getLong("havenford.registrationSeeds", DEFAULT_SEEDS))
-                .mapToObj(seed -> DynamicTest.dynamicTest("seed " + seed, () -> {
-                    List<String> lines = RepeatedRegistrationScenario.draw(seed);
-                    TracePlayer.Result result = TracePlayer.play(lines);
-                    assertEquals(
-                            List.of(), result.violations(), () -> String.join("\n", lines) + "\n--\n" + result.log());
-                }));
+        return RandomizedScenarios.play(
+                1, Long.getLong("havenford.registrationSeeds", DEFAULT_SEEDS), RepeatedRegistrationScenario::draw);
     }
 }
--- a/src/test/java/org/havenford/simulator/RestartedAgentTest.java
+++ b/src/test/java/org/havenford/simulator/RestartedAgentTest.java
@@ -1,9 +1,6 @@
 package org.havenford.simulator;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 import java.util.List;
-import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.Test;
@@ -15,7 +12,7 @@
 
     @Test
     void aTaskOfAMuteAgentThatRestartedDoesNotRunTwice() {
-        assertNoViolations(List.of(
+        RandomizedScenarios.assertNoViolations(List.of(
                 "team red 0 0",
                 "machine small a ordinary",
                 "machine large b ordinary",
@@ -29,13 +26,7 @@
 
     @TestFactory
     Stream<DynamicTest> noTaskRunsTwiceWhenMuteAgentsRestartAtDrawnMoments() {
-        return LongStream.rangeClosed(1, Long.getLong("havenford.restartSeeds", DEFAULT_SEEDS))
-                .mapToObj(seed -> DynamicTest.dynamicTest(
-                        "seed " + seed, () -> assertNoViolations(RestartedAgentScenario.draw(seed))));
-    }
-
-    private static void assertNoViolations(List<String> lines) {
-        TracePlayer.Result result = TracePlayer.play(lines);
-        assertEquals(List.of(), result.violations(), () -> String.join("\n", lines) + "\n--\n" + result.log());
+        return RandomizedScenarios.play(
+                1, Long.getLong("havenford.restartSeeds", DEFAULT_SEEDS), RestartedAgentScenario::draw);
     }
 }
